--- /dev/null
+++ b/internal/commander/config.go
@@ -0,0 +1,333 @@
+package commander
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/balsamcove/balsamcove/pkg/checker"
+	"github.com/balsamcove/balsamcove/pkg/client"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/parser"
+)
+
+// drainPoll is the wait between two looks at a data centre's progress.
+const drainPoll = 200 * time.Millisecond
+
+func readSources(files []string) ([]parser.Source, error) {
+	var out []parser.Source
+	for _, f := range files {
+		data, err := os.ReadFile(f)
+		if err != nil {
+			return nil, errors.Wrap(err, "read configuration")
+		}
+		out = append(out, parser.Source{File: f, Text: string(data)})
+	}
+	return out, nil
+}
+
+type checkCommand struct {
+	Files []string `arg:"" help:"Configuration files; together they are the whole set." type:"existingfile"`
+}
+
+// Run checks the files as one whole set.
+func (c *checkCommand) Run(s *session) error {
+	sources, err := readSources(c.Files)
+	if err != nil {
+		return err
+	}
+	parsed := parser.Parse(sources)
+	problems := parsed.Problems
+	problems = append(problems, checker.Check(checker.NewSet(parsed.Objects...), parsed.Position)...)
+	if len(problems) > 0 {
+		return &parser.InvalidError{Problems: problems}
+	}
+	out := struct {
+		Objects int `json:"objects"`
+	}{len(parsed.Objects)}
+	return s.print(out, func() { s.line("%d objects, no problems", out.Objects) })
+}
+
+type publishCommand struct {
+	Files  []string `arg:"" optional:"" help:"Configuration files; objects that they do not name stay." type:"existingfile"`
+	Delete []string `help:"Objects to delete, such as service/hire-desk." placeholder:"KIND/NAME"`
+	Base   *uint64  `help:"Version that is changed; without it, whatever is in force." placeholder:"VERSION"`
+	ID     string   `help:"Identity of the publication, to send it again." placeholder:"ID"`
+	Author string   `help:"Who publishes." env:"USER" default:"operator"`
+}
+
+// Run publishes the files.
+func (c *publishCommand) Run(s *session) error {
+	sources, err := readSources(c.Files)
+	if err != nil {
+		return err
+	}
+	if problems := parser.Parse(sources).Problems; len(problems) > 0 {
+		return &parser.InvalidError{Problems: problems}
+	}
+	p := client.Publication{ID: identifier.Publication(c.ID), Author: c.Author, Sources: sources}
+	if c.ID == "" {
+		p.ID = identifier.Publication(identifier.NewName("p-"))
+	}
+	if c.Base != nil {
+		base := identifier.ConfigVersion(*c.Base)
+		p.Base = &base
+	}
+	if p.Deletes, err = parseKeys(c.Delete); err != nil {
+		return err
+	}
+	return s.publish(p)
+}
+
+func (s *session) publish(p client.Publication) error {
+	cl, err := s.client()
+	if err != nil {
+		return err
+	}
+	change, err := cl.Publish(s.ctx, p)
+	if err != nil {
+		return err
+	}
+	return s.print(change, func() { s.line("accepted: version %d (%s)", change.Version, change.Publication) })
+}
+
+func parseKeys(texts []string) ([]parser.Key, error) {
+	var out []parser.Key
+	var problems []parser.Problem
+	for _, text := range texts {
+		kind, name, ok := strings.Cut(text, "/")
+		if !ok || parser.New(parser.Kind(kind)) == nil || name == "" {
+			problems = append(problems, parser.Problem{Field: "--delete", Wrong: fmt.Sprintf("%q is no object", text), Want: "KIND/NAME such as service/hire-desk"})
+			continue
+		}
+		out = append(out, parser.Key{Kind: parser.Kind(kind), Name: name})
+	}
+	if len(problems) > 0 {
+		return nil, &parser.InvalidError{Problems: problems}
+	}
+	return out, nil
+}
+
+type getCommand struct {
+	Objects []string `arg:"" optional:"" help:"Objects to show, such as service/hire-desk; all without." placeholder:"KIND/NAME"`
+}
+
+// Run shows the configuration in force.
+func (c *getCommand) Run(s *session) error {
+	cl, err := s.client()
+	if err != nil {
+		return err
+	}
+	cfg, err := cl.Config(s.ctx)
+	if err != nil {
+		return err
+	}
+	wanted := map[string]bool{}
+	for _, o := range c.Objects {
+		wanted[o] = true
+	}
+	shown := cfg.Objects[:0]
+	for _, o := range cfg.Objects {
+		if len(wanted) == 0 || wanted[o.Key.String()] {
+			shown = append(shown, o)
+		}
+	}
+	cfg.Objects = shown
+	return s.print(cfg, func() {
+		s.line("# version %d", cfg.Version)
+		for _, o := range shown {
+			s.line("---\n%s", strings.TrimSpace(o.Text))
+		}
+	})
+}
+
+type diffCommand struct {
+	Files []string `arg:"" help:"Configuration files." type:"existingfile"`
+}
+
+// Run shows what publishing the files would change.
+func (c *diffCommand) Run(s *session) error {
+	sources, err := readSources(c.Files)
+	if err != nil {
+		return err
+	}
+	parsed := parser.Parse(sources)
+	if len(parsed.Problems) > 0 {
+		return &parser.InvalidError{Problems: parsed.Problems}
+	}
+	cl, err := s.client()
+	if err != nil {
+		return err
+	}
+	cfg, err := cl.Config(s.ctx)
+	if err != nil {
+		return err
+	}
+	changes, err := compare(cfg, parsed.Objects)
+	if err != nil {
+		return err
+	}
+	return s.print(changes, func() {
+		s.line("against version %d: %d added, %d changed", changes.Version, len(changes.Added), len(changes.Changed))
+		for _, o := range changes.Added {
+			s.line("+ %s", o)
+		}
+		for _, o := range changes.Changed {
+			s.line("~ %s\n%s", o.Key, o.Lines)
+		}
+	})
+}
+
+type objectDiff struct {
+	Key   string `json:"key"`
+	Lines string `json:"lines"`
+}
+
+type configDiff struct {
+	Version identifier.ConfigVersion `json:"version"`
+	Added   []string                 `json:"added"`
+	Changed []objectDiff             `json:"changed"`
+}
+
+func compare(cfg client.Config, objects []parser.Object) (configDiff, error) {
+	out := configDiff{Version: cfg.Version}
+	inForce := map[string]string{}
+	for _, o := range cfg.Objects {
+		inForce[o.Key.String()] = o.Text
+	}
+	for _, obj := range objects {
+		key := obj.Key().String()
+		text, err := parser.Format(obj)
+		if err != nil {
+			return out, err
+		}
+		old, ok := inForce[key]
+		switch {
+		case !ok:
+			out.Added = append(out.Added, key)
+		case old != string(text):
+			out.Changed = append(out.Changed, objectDiff{key, diffLines(old, string(text))})
+		}
+	}
+	return out, nil
+}
+
+// diffLines lists the lines that only one of two texts has.
+func diffLines(old, changed string) string {
+	var b strings.Builder
+	has := func(text, line string) bool { return strings.Contains("\n"+text, "\n"+line+"\n") }
+	for _, l := range strings.Split(strings.TrimSpace(old), "\n") {
+		if !has(changed, l) {
+			fmt.Fprintf(&b, "  - %s\n", l)
+		}
+	}
+	for _, l := range strings.Split(strings.TrimSpace(changed), "\n") {
+		if !has(old, l) {
+			fmt.Fprintf(&b, "  + %s\n", l)
+		}
+	}
+	return strings.TrimRight(b.String(), "\n")
+}
+
+type historyCommand struct{}
+
+// Run lists the accepted publications.
+func (*historyCommand) Run(s *session) error {
+	cl, err := s.client()
+	if err != nil {
+		return err
+	}
+	h, err := cl.History(s.ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(h, func() {
+		var rows [][]any
+		for _, c := range h.Changes {
+			at := time.UnixMilli(c.AtUnixMs).UTC().Format(time.RFC3339)
+			rows = append(rows, []any{c.Version, at, c.Author, c.Publication, strings.Join(append(c.Upserts, c.Deletes...), " ")})
+		}
+		s.table([]any{"VERSION", "AT", "AUTHOR", "PUBLICATION", "OBJECTS"}, rows)
+	})
+}
+
+type drainCommand struct {
+	DataCentre string        `arg:"" help:"Data centre to take out."`
+	Wait       bool          `help:"Wait until it is empty, showing what is left."`
+	Limit      time.Duration `help:"How long to wait." default:"10m"`
+}
+
+// Run takes a data centre out of service.
+func (c *drainCommand) Run(s *session) error {
+	dc := identifier.DataCentre(c.DataCentre)
+	if err := s.setState(dc, parser.Drained); err != nil || !c.Wait {
+		return err
+	}
+	cl, err := s.client()
+	if err != nil {
+		return err
+	}
+	left := -1
+	for deadline := time.Now().Add(c.Limit); time.Now().Before(deadline); time.Sleep(drainPoll) {
+		p, err := cl.Progress(s.ctx, dc)
+		if err != nil {
+			return err
+		}
+		if p.Claimed != left {
+			left = p.Claimed
+			if err := s.print(p, func() { s.line("%d tasks left in %s %v", p.Claimed, dc, p.Tasks) }); err != nil {
+				return err
+			}
+		}
+		if left == 0 {
+			return nil
+		}
+	}
+	return errors.Newf("data centre %s still holds %d tasks after %s", dc, left, c.Limit)
+}
+
+type restoreCommand struct {
+	DataCentre string `arg:"" help:"Data centre to take into service."`
+}
+
+// Run takes a data centre into service again.
+func (c *restoreCommand) Run(s *session) error {
+	return s.setState(identifier.DataCentre(c.DataCentre), parser.InService)
+}
+
+// setState publishes a data centre with another state, against the version in
+// which it was read.
+func (s *session) setState(dc identifier.DataCentre, state parser.Availability) error {
+	cl, err := s.client()
+	if err != nil {
+		return err
+	}
+	cfg, err := cl.Config(s.ctx)
+	if err != nil {
+		return err
+	}
+	key := parser.Key{Kind: parser.KindDataCentre, Name: string(dc)}
+	for _, o := range cfg.Objects {
+		if o.Key != key {
+			continue
+		}
+		obj, ok := parser.Parse([]parser.Source{{File: key.String(), Text: o.Text}}).Objects[0].(*parser.DataCentre)
+		if !ok {
+			break
+		}
+		obj.State = state
+		text, err := parser.Format(obj)
+		if err != nil {
+			return err
+		}
+		return s.publish(client.Publication{
+			ID:   identifier.Publication(identifier.NewName("p-")),
+			Base: &cfg.Version, Author: os.Getenv("USER"),
+			Sources: []parser.Source{{File: key.String(), Text: string(text)}},
+		})
+	}
+	return errors.Newf("there is no data centre %q", dc)
+}
--- /dev/null
+++ b/internal/commander/entry.go
@@ -0,0 +1,76 @@
+package commander
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/balsamcove/balsamcove/internal/loader"
+	"github.com/balsamcove/balsamcove/internal/server"
+)
+
+type entryCommand struct {
+	Settings string `required:"" help:"Settings file." type:"existingfile"`
+}
+
+// Run runs an entry host until a signal stops it. A second signal ends it at
+// once.
+func (c *entryCommand) Run(s *session) error {
+	cfg, err := loader.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(cfg)
+	if err != nil {
+		return err
+	}
+	srv, err := server.New(cfg, logger)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(s.ctx, syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
+	return srv.Run(ctx)
+}
+
+func newLogger(cfg loader.Settings) (*zap.Logger, error) {
+	level, err := zapcore.ParseLevel(string(cfg.Log.Level))
+	if err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	enc := zap.NewProductionEncoderConfig()
+	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(os.Stderr), level)
+	return zap.New(core).With(zap.String("entry", string(cfg.Name)), zap.String("dataCentre", string(cfg.DataCentre))), nil
+}
+
+type settingsCommand struct {
+	File string `arg:"" help:"Settings file." type:"existingfile"`
+}
+
+// Run checks a settings file.
+func (c *settingsCommand) Run(s *session) error {
+	cfg, err := loader.Load(c.File)
+	if err != nil {
+		return err
+	}
+	out := struct {
+		Name string `json:"name"`
+	}{string(cfg.Name)}
+	return s.print(out, func() { s.line("settings of entry host %s: no problems", out.Name) })
+}
+
+type versionCommand struct{}
+
+// Run shows the version.
+func (*versionCommand) Run(s *session) error {
+	out := struct {
+		Version string `json:"version"`
+	}{Version}
+	return s.print(out, func() { s.line("balsamcove %s", out.Version) })
+}
--- /dev/null
+++ b/internal/commander/task.go
@@ -0,0 +1,198 @@
+package commander
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/balsamcove/balsamcove/pkg/client"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+)
+
+type requestCommand struct {
+	Service    string   `arg:"" help:"Service to ask."`
+	Body       string   `arg:"" optional:"" help:"Body; - reads it from standard input."`
+	Callers    []string `help:"Addresses at which entry hosts serve callers." env:"BALSAMCOVE_CALLERS" default:"127.0.0.1:7101" sep:"," placeholder:"IP:PORT"`
+	ID         string   `help:"Identity of the request, to send it again."`
+	Idempotent bool     `help:"The request may be executed more than once."`
+	DeadlineMs int64    `help:"Deadline in milliseconds; that of the service without." placeholder:"MS"`
+}
+
+// Run sends a request.
+func (c *requestCommand) Run(s *session) error {
+	body := []byte(c.Body)
+	if c.Body == "-" {
+		var err error
+		if body, err = io.ReadAll(os.Stdin); err != nil {
+			return errors.Wrap(err, "read body")
+		}
+	}
+	cl, err := client.New(c.Callers, client.WithTimeout(s.Timeout))
+	if err != nil {
+		return err
+	}
+	a, err := cl.Request(s.ctx, client.Request{
+		ID: identifier.Request(c.ID), Service: identifier.Service(c.Service),
+		Idempotent: c.Idempotent, DeadlineMs: c.DeadlineMs, Body: body,
+	})
+	if err != nil {
+		return err
+	}
+	return s.print(a, func() { s.line("%s", a.Body) })
+}
+
+type submitCommand struct {
+	Pool    string `arg:"" help:"Batch pool."`
+	ID      string `help:"Name of the task; submitting the same name again is safe." placeholder:"TASK"`
+	Payload string `help:"Payload that the worker gets."`
+}
+
+// Run submits a task.
+func (c *submitCommand) Run(s *session) error {
+	cl, err := s.client()
+	if err != nil {
+		return err
+	}
+	id := identifier.Task(c.ID)
+	if id == "" {
+		id = identifier.Task(identifier.NewName("t-"))
+	}
+	t, err := cl.Submit(s.ctx, client.Submission{Task: id, Pool: identifier.Pool(c.Pool), Payload: c.Payload})
+	if err != nil {
+		return err
+	}
+	return s.print(t, func() { s.line("accepted: task %s %s", t.ID, t.State) })
+}
+
+type cancelCommand struct {
+	Tasks []string `arg:"" help:"Tasks to cancel."`
+}
+
+// Run cancels tasks, all of them even if some cannot be.
+func (c *cancelCommand) Run(s *session) error {
+	cl, err := s.client()
+	if err != nil {
+		return err
+	}
+	var failed error
+	for _, id := range c.Tasks {
+		t, err := cl.Cancel(s.ctx, identifier.Task(id))
+		if err != nil {
+			failed = errors.CombineErrors(failed, err)
+			continue
+		}
+		if err := s.print(t, func() { s.line("cancelling: task %s %s", t.ID, t.State) }); err != nil {
+			return err
+		}
+	}
+	return failed
+}
+
+type statusCommand struct {
+	Task string `arg:"" optional:"" help:"Task to show; without it, the entry host."`
+}
+
+// Run shows a task or the entry host.
+func (c *statusCommand) Run(s *session) error {
+	cl, err := s.client()
+	if err != nil {
+		return err
+	}
+	if c.Task == "" {
+		return s.showHost(cl)
+	}
+	t, err := cl.Task(s.ctx, identifier.Task(c.Task))
+	if err != nil {
+		return err
+	}
+	return s.print(t, func() {
+		s.table(taskHeader(), [][]any{taskRow(t)})
+	})
+}
+
+func taskHeader() []any {
+	return []any{"TASK", "POOL", "STATE", "OUTCOME", "ATTEMPT", "DATA CENTRE", "WORKER", "EVICTIONS", "FAILURES"}
+}
+
+func taskRow(t client.Task) []any {
+	return []any{t.ID, t.Pool, t.State, dash(t.Outcome), t.Attempt, dash(string(t.DataCentre)), dash(string(t.Worker)), t.Evictions, t.Failures}
+}
+
+func dash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+func (s *session) showHost(cl *client.Client) error {
+	st, err := cl.Status(s.ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(st, func() {
+		s.line("entry host %s in %s: ready %t, version %d, cell lease held by %s (epoch %d)",
+			st.Entry, st.DataCentre, st.Ready, st.Version, dash(string(st.LeaseHolder)), st.Epoch)
+		var rows [][]any
+		for _, m := range st.Members {
+			rows = append(rows, []any{m.Entry, m.DataCentre, m.Address, m.Ready, m.Leaving})
+		}
+		s.table([]any{"MEMBER", "DATA CENTRE", "ADDRESS", "READY", "LEAVING"}, rows)
+	})
+}
+
+type listCommand struct {
+	State string `help:"Only tasks of a state: ${enum}." enum:",waiting,claimed,ended" default:""`
+	Pool  string `help:"Only tasks of a batch pool."`
+}
+
+// Run lists tasks.
+func (c *listCommand) Run(s *session) error {
+	cl, err := s.client()
+	if err != nil {
+		return err
+	}
+	tasks, err := cl.Tasks(s.ctx, c.State, identifier.Pool(c.Pool))
+	if err != nil {
+		return err
+	}
+	return s.print(tasks, func() {
+		var rows [][]any
+		for _, t := range tasks.Tasks {
+			rows = append(rows, taskRow(t))
+		}
+		s.table(taskHeader(), rows)
+	})
+}
+
+type explainCommand struct {
+	Task string `arg:"" help:"Task."`
+}
+
+// Run says why a task is in its state.
+func (c *explainCommand) Run(s *session) error {
+	cl, err := s.client()
+	if err != nil {
+		return err
+	}
+	e, err := cl.Explain(s.ctx, identifier.Task(c.Task))
+	if err != nil {
+		return err
+	}
+	return s.print(e, func() {
+		s.line("task %s is %s%s", e.Task.ID, e.Task.State, suffix(e.Task.Outcome))
+		for _, r := range e.Reasons {
+			s.line("  %s: %s", r.DataCentre, strings.Join(r.Lines, "; "))
+		}
+	})
+}
+
+func suffix(outcome string) string {
+	if outcome == "" {
+		return ""
+	}
+	return fmt.Sprintf(" (%s)", outcome)
+}
--- /dev/null
+++ b/internal/dialer/minion.go
@@ -0,0 +1,152 @@
+package dialer
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	herrors "github.com/cloudwego/hertz/pkg/common/errors"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"github.com/cockroachdb/errors"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+)
+
+// Headers of the exchange with callers and minions.
+const (
+	HeaderRequestID  = "X-Request-Id"
+	HeaderIdempotent = "X-Idempotent"
+	HeaderDeadline   = "X-Deadline-Ms"
+	HeaderNotRun     = "X-Not-Run"
+	HeaderLeaving    = "X-Leaving"
+	HeaderEffect     = "X-Effect"
+	HeaderMinion     = "X-Minion"
+)
+
+// MaxBodyBytes is the largest body of a request or an answer.
+const MaxBodyBytes = 1 << 20
+
+// probeTimeout is how long an idle connection is probed before it is used.
+const probeTimeout = 50 * time.Microsecond
+
+var (
+	// ErrShortAnswer marks an answer that ended early or whose end is unknown.
+	ErrShortAnswer = errors.New("answer is not whole")
+	// ErrOtherAnswer marks an answer to another request.
+	ErrOtherAnswer = errors.New("answer belongs to another request")
+	// ErrStale marks a kept connection that the minion has closed.
+	ErrStale = errors.New("connection was closed by the minion")
+)
+
+// minionConn is one HTTP/1.1 connection. It is driven directly, since only then
+// is it known whether a byte of a request was sent.
+type minionConn struct {
+	conn    network.Conn
+	used    bool
+	address string
+}
+
+// DialMinion opens a connection to a minion.
+func DialMinion(ctx context.Context, address string) (connector.MinionConn, error) {
+	conn, err := standard.NewDialer().DialConnection("tcp", address, min(timeLeft(ctx), dialTimeout), nil)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "dial minion %s", address), connector.ErrNotSent)
+	}
+	return &minionConn{conn: conn, address: address}, nil
+}
+
+// Close closes the connection.
+func (c *minionConn) Close() error { return c.conn.Close() }
+
+// Do sends a request and reads its whole answer.
+func (c *minionConn) Do(ctx context.Context, r connector.MinionRequest) (connector.MinionAnswer, error) {
+	if err := c.probe(); err != nil {
+		return connector.MinionAnswer{}, errors.Mark(err, connector.ErrNotSent)
+	}
+	c.used = true
+	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetReadDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := c.write(ctx, r); err != nil {
+		return connector.MinionAnswer{}, errors.Mark(errors.Wrapf(err, "send to minion %s", c.address), connector.ErrUnknown)
+	}
+	return c.read(ctx, r)
+}
+
+// probe reports whether a kept connection is still open and silent.
+func (c *minionConn) probe() error {
+	if !c.used {
+		return nil
+	}
+	_ = c.conn.SetReadTimeout(probeTimeout)
+	_, err := c.conn.Peek(1)
+	if err == nil {
+		return errors.Mark(errors.New("unexpected bytes"), ErrOtherAnswer)
+	}
+	if !isTimeout(err) {
+		return errors.Mark(err, ErrStale)
+	}
+	return nil
+}
+
+func (c *minionConn) write(ctx context.Context, r connector.MinionRequest) error {
+	out := protocol.AcquireRequest()
+	defer protocol.ReleaseRequest(out)
+	out.SetMethod(consts.MethodPost)
+	out.SetRequestURI("http://" + c.address + "/v1/services/" + string(r.Service) + "/requests")
+	out.Header.Set(HeaderRequestID, string(r.ID))
+	out.Header.Set(HeaderIdempotent, strconv.FormatBool(r.Idempotent))
+	out.Header.Set(HeaderDeadline, strconv.FormatInt(r.Remaining.Milliseconds(), 10))
+	out.SetBody(r.Body)
+	_ = c.conn.SetWriteTimeout(timeLeft(ctx))
+	if err := req.Write(out, c.conn); err != nil {
+		return err
+	}
+	return c.conn.Flush()
+}
+
+func (c *minionConn) read(ctx context.Context, r connector.MinionRequest) (connector.MinionAnswer, error) {
+	in := protocol.AcquireResponse()
+	defer protocol.ReleaseResponse(in)
+	_ = c.conn.SetReadTimeout(timeLeft(ctx))
+	if err := resp.ReadHeaderAndLimitBody(in, c.conn, MaxBodyBytes); err != nil {
+		err = errors.Wrapf(err, "answer of minion %s", c.address)
+		return connector.MinionAnswer{}, errors.Mark(errors.Mark(err, ErrShortAnswer), connector.ErrUnknown)
+	}
+	if err := c.check(in, r); err != nil {
+		return connector.MinionAnswer{}, errors.Mark(err, connector.ErrUnknown)
+	}
+	answer := connector.MinionAnswer{
+		Status:  in.StatusCode(),
+		Body:    append([]byte(nil), in.Body()...),
+		Leaving: in.Header.Get(HeaderLeaving) == "true",
+	}
+	if in.Header.Get(HeaderNotRun) == "true" {
+		return answer, errors.Mark(errors.Newf("minion refused with status %d", answer.Status), connector.ErrRefused)
+	}
+	return answer, nil
+}
+
+// check refuses an answer whose length is not stated or that names another
+// request.
+func (c *minionConn) check(in *protocol.Response, r connector.MinionRequest) error {
+	if in.Header.ContentLength() < -1 {
+		return errors.Mark(errors.New("answer without a length"), ErrShortAnswer)
+	}
+	if id := in.Header.Get(HeaderRequestID); id != "" && id != string(r.ID) {
+		return errors.Mark(errors.Newf("answer names request %q", id), ErrOtherAnswer)
+	}
+	return nil
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	if errors.As(err, &t) && t.Timeout() {
+		return true
+	}
+	return errors.Is(err, herrors.ErrTimeout)
+}
--- /dev/null
+++ b/internal/heartbeater/table.go
@@ -0,0 +1,231 @@
+// Package heartbeater keeps the membership of entry hosts: who is alive in
+// which data centre, and what each reports about its load.
+package heartbeater
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+)
+
+// Times are the durations of the membership.
+type Times struct {
+	// Interval is the time between heartbeats within a data centre.
+	Interval time.Duration
+	// Dead is the silence after which a member no longer counts.
+	Dead time.Duration
+	// Settle is how long a new member is heard before it owns minions.
+	Settle time.Duration
+	// Forget is the silence after which a member's address is dropped.
+	Forget time.Duration
+}
+
+// Report is what an entry host says about itself. Seq grows with every report
+// of an incarnation.
+type Report struct {
+	Entry       identifier.Entry           `json:"entry"`
+	DataCentre  identifier.DataCentre      `json:"dataCentre"`
+	Address     string                     `json:"address"`
+	Incarnation identifier.Incarnation     `json:"incarnation"`
+	StartedMs   int64                      `json:"startedMs"`
+	Seq         uint64                     `json:"seq"`
+	Leaving     bool                       `json:"leaving,omitempty"`
+	Ready       bool                       `json:"ready"`
+	Free        map[identifier.Service]int `json:"free,omitempty"`
+	InFlight    map[identifier.Minion]int  `json:"inFlight,omitempty"`
+}
+
+// Address is where an entry host may be reached.
+type Address struct {
+	Entry      identifier.Entry      `json:"entry"`
+	DataCentre identifier.DataCentre `json:"dataCentre"`
+	Address    string                `json:"address"`
+}
+
+// Beat is one heartbeat and its answer.
+type Beat struct {
+	Reports []Report  `json:"reports"`
+	Known   []Address `json:"known,omitempty"`
+}
+
+type member struct {
+	report  Report
+	firstAt time.Time
+	heardAt time.Time
+}
+
+// Table is the membership as one host sees it. Its methods are safe for
+// concurrent use.
+type Table struct {
+	self  Report
+	times Times
+
+	mu      sync.Mutex
+	seq     uint64
+	members map[identifier.Entry]*member
+	known   map[string]knownAddress
+}
+
+type knownAddress struct {
+	Address
+	at   time.Time
+	seed bool
+}
+
+// NewTable returns the membership of a host that has heard of nobody but the
+// seeds.
+func NewTable(self Report, times Times, seeds []Address) *Table {
+	t := &Table{self: self, times: times, members: map[identifier.Entry]*member{}, known: map[string]knownAddress{}}
+	for _, a := range seeds {
+		if a.Address != self.Address {
+			t.known[a.Address] = knownAddress{a, time.Now(), true}
+		}
+	}
+	return t
+}
+
+// SetSelf changes what this host reports about itself.
+func (t *Table) SetSelf(fn func(*Report)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fn(&t.self)
+}
+
+// Beat returns the heartbeat for a peer of a data centre. Peers elsewhere get
+// the reports of all members of this one.
+func (t *Table) Beat(to identifier.DataCentre) Beat {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.seq++
+	t.self.Seq = t.seq
+	b := Beat{Reports: []Report{t.self}}
+	if to != t.self.DataCentre {
+		for _, m := range t.members {
+			if m.report.DataCentre == t.self.DataCentre && t.alive(m) {
+				b.Reports = append(b.Reports, m.report)
+			}
+		}
+	}
+	for _, m := range t.members {
+		if t.alive(m) {
+			b.Known = append(b.Known, Address{m.report.Entry, m.report.DataCentre, m.report.Address})
+		}
+	}
+	return b
+}
+
+// Receive takes a heartbeat or the answer to one.
+func (t *Table) Receive(b Beat) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	for _, r := range b.Reports {
+		t.receiveReport(r, now)
+	}
+	for _, a := range b.Known {
+		if _, ok := t.known[a.Address]; !ok && a.Address != t.self.Address {
+			t.known[a.Address] = knownAddress{Address: a, at: now}
+		}
+	}
+}
+
+func (t *Table) receiveReport(r Report, now time.Time) {
+	if r.Entry == t.self.Entry || r.Address == t.self.Address {
+		return
+	}
+	m, ok := t.members[r.Entry]
+	switch {
+	case !ok || r.StartedMs > m.report.StartedMs:
+		t.dropAddress(r)
+		t.members[r.Entry] = &member{report: r, firstAt: now, heardAt: now}
+	case r.Incarnation == m.report.Incarnation && r.Seq > m.report.Seq:
+		if !t.alive(m) {
+			m.firstAt = now
+		}
+		m.report, m.heardAt = r, now
+	default:
+		return
+	}
+	known := t.known[r.Address]
+	t.known[r.Address] = knownAddress{Address{r.Entry, r.DataCentre, r.Address}, now, known.seed}
+}
+
+// dropAddress removes other members that used the address before.
+func (t *Table) dropAddress(r Report) {
+	for id, m := range t.members {
+		if m.report.Address == r.Address && id != r.Entry {
+			delete(t.members, id)
+		}
+	}
+}
+
+func (t *Table) alive(m *member) bool {
+	limit := t.times.Dead
+	if m.report.DataCentre != t.self.DataCentre {
+		limit *= remoteFactor
+	}
+	return time.Since(m.heardAt) < limit
+}
+
+// remoteFactor is how much rarer heartbeats between data centres are.
+const remoteFactor = 4
+
+// Alive returns the reports of all live members but this host, by name.
+func (t *Table) Alive() []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Report
+	for _, m := range t.members {
+		if t.alive(m) {
+			out = append(out, m.report)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Entry < out[j].Entry })
+	return out
+}
+
+// Settled returns the members of this data centre that own minions, this host
+// among them unless it is leaving.
+func (t *Table) Settled() []identifier.Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []identifier.Entry
+	if !t.self.Leaving {
+		out = append(out, t.self.Entry)
+	}
+	for id, m := range t.members {
+		local := m.report.DataCentre == t.self.DataCentre
+		if local && m.report.Ready && !m.report.Leaving && t.alive(m) && time.Since(m.firstAt) >= t.times.Settle {
+			out = append(out, id)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// Targets returns the addresses to send heartbeats to: those of this data
+// centre, and one of each other; pick chooses among n.
+func (t *Table) Targets(remote bool, pick func(n int) int) []Address {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	byDC := map[identifier.DataCentre][]Address{}
+	for key, k := range t.known {
+		if !k.seed && time.Since(k.at) > t.times.Forget {
+			delete(t.known, key)
+			continue
+		}
+		byDC[k.DataCentre] = append(byDC[k.DataCentre], k.Address)
+	}
+	out := byDC[t.self.DataCentre]
+	delete(byDC, t.self.DataCentre)
+	if !remote {
+		return out
+	}
+	for _, list := range byDC {
+		sort.Slice(list, func(i, j int) bool { return list[i].Address < list[j].Address })
+		out = append(out, list[pick(len(list))])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lessor/lessor.go
@@ -0,0 +1,192 @@
+// Package lessor keeps the lease of a cell: at most one entry host of a data
+// centre holds it and places tasks. The order of the log decides between
+// claimants; every host counts time by its own clock alone.
+package lessor
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/balsamcove/balsamcove/internal/encoder"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+)
+
+// marginDivisor sets the allowance for clock rates: others wait the lease's
+// duration plus this fraction of it before they claim.
+const marginDivisor = 4
+
+// Times are the durations of a cell lease.
+type Times struct {
+	// TTL is how long the lease lasts after its last renewal.
+	TTL time.Duration
+	// Renew is the interval between renewals.
+	Renew time.Duration
+}
+
+// Lessor is one host's view of the lease. It is not safe for concurrent use.
+type Lessor struct {
+	self     encoder.Lease
+	times    Times
+	epoch    identifier.Epoch
+	holder   encoder.Lease
+	readAt   time.Time
+	known    bool
+	pending  map[identifier.RecordID]time.Time
+	heldTill time.Time
+	renewed  time.Time
+	nextSend time.Time
+	leaving  bool
+}
+
+// New returns the view of a host that has read nothing yet.
+func New(entry identifier.Entry, incarnation identifier.Incarnation, times Times) *Lessor {
+	return &Lessor{
+		self:    encoder.Lease{Holder: incarnation, Entry: entry},
+		times:   times,
+		pending: map[identifier.RecordID]time.Time{},
+	}
+}
+
+// Apply folds a lease record that was read just now and reports whether it
+// was accepted.
+func (l *Lessor) Apply(id identifier.RecordID, rec encoder.Lease) bool {
+	sent, mine := l.pending[id]
+	delete(l.pending, id)
+	renewal := rec.Epoch == l.epoch && rec.Holder == l.holder.Holder && !l.holder.Released
+	takeover := rec.Epoch == l.epoch+1
+	if !renewal && !takeover {
+		return false
+	}
+	l.epoch = rec.Epoch
+	l.holder = rec
+	l.readAt = time.Now()
+	l.known = true
+	if rec.Holder != l.self.Holder || rec.Released {
+		l.heldTill = time.Time{}
+		return true
+	}
+	if mine {
+		l.renewed = later(l.renewed, sent)
+		l.heldTill = l.renewed.Add(l.times.TTL)
+	}
+	return true
+}
+
+// CaughtUp tells the view that the stream was read to its head; a stream
+// without any lease is then known to be free.
+func (l *Lessor) CaughtUp() {
+	if !l.known {
+		l.known = true
+		l.readAt = time.Now()
+	}
+}
+
+// Next returns the record to append now, if one is due.
+func (l *Lessor) Next() (encoder.Record, bool) {
+	now := time.Now()
+	if !l.known || l.leaving || now.Before(l.nextSend) {
+		return encoder.Record{}, false
+	}
+	rec := l.self
+	switch {
+	case l.holder.Holder == l.self.Holder && !l.holder.Released:
+		rec.Epoch = l.epoch
+	case l.free(now):
+		rec.Epoch = l.epoch + 1
+	default:
+		return encoder.Record{}, false
+	}
+	out := encoder.NewRecord(rec)
+	l.pending[out.ID] = now
+	l.forgetOld(now)
+	l.nextSend = now.Add(l.times.Renew)
+	return out, true
+}
+
+// Release returns the record that gives the lease up, and stops claiming.
+func (l *Lessor) Release() (encoder.Record, bool) {
+	l.leaving = true
+	if l.holder.Holder != l.self.Holder {
+		return encoder.Record{}, false
+	}
+	l.heldTill = time.Time{}
+	rec := l.self
+	rec.Epoch, rec.Released = l.epoch, true
+	return encoder.NewRecord(rec), true
+}
+
+// Held reports whether this host holds the lease now. It must be asked again
+// after every wait and before every effect.
+func (l *Lessor) Held() bool { return time.Now().Before(l.heldTill) }
+
+// Mine reports whether this host was the last to hold the lease, even if it
+// has lapsed since.
+func (l *Lessor) Mine() bool { return l.holder.Holder == l.self.Holder && !l.renewed.IsZero() }
+
+// RenewedAt returns when the last accepted renewal of this host was sent.
+func (l *Lessor) RenewedAt() time.Time { return l.renewed }
+
+// SeenAt returns when the last accepted record of any holder was read.
+func (l *Lessor) SeenAt() time.Time { return l.readAt }
+
+// Epoch returns the epoch of the last holder.
+func (l *Lessor) Epoch() identifier.Epoch { return l.epoch }
+
+// Holder returns the entry host that was last seen to hold the lease.
+func (l *Lessor) Holder() identifier.Entry { return l.holder.Entry }
+
+func (l *Lessor) free(now time.Time) bool {
+	if l.holder.Holder == "" || l.holder.Released {
+		return true
+	}
+	return now.Sub(l.readAt) > l.times.TTL+l.times.TTL/marginDivisor
+}
+
+func (l *Lessor) forgetOld(now time.Time) {
+	for id, sent := range l.pending {
+		if now.Sub(sent) > l.times.TTL {
+			delete(l.pending, id)
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+type state struct {
+	Epoch  identifier.Epoch `cbor:"1,keyasint"`
+	Holder encoder.Lease    `cbor:"2,keyasint"`
+}
+
+// Marshal returns the state for a snapshot.
+func (l *Lessor) Marshal() ([]byte, error) {
+	return cbor.Marshal(state{l.epoch, l.holder})
+}
+
+// Unmarshal replaces the state by that of a snapshot. The holder's time counts
+// from now.
+func (l *Lessor) Unmarshal(data []byte) error {
+	var s state
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return errors.Mark(err, encoder.ErrMalformed)
+	}
+	l.epoch, l.holder = s.Epoch, s.Holder
+	l.readAt = time.Now()
+	l.heldTill = time.Time{}
+	return nil
+}
+
+// Reset starts from an empty stream whose next offset is base. An epoch never
+// exceeds the number of records before it, so base is above all earlier ones.
+func (l *Lessor) Reset(base identifier.Offset) {
+	l.epoch = identifier.Epoch(base)
+	l.holder = encoder.Lease{}
+	l.readAt = time.Now()
+	l.heldTill = time.Time{}
+}
--- /dev/null
+++ b/internal/loader/loader.go
@@ -0,0 +1,216 @@
+// Package loader reads and checks the settings file of an entry host.
+package loader
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/parser"
+)
+
+// Settings are what an entry host is started with.
+type Settings struct {
+	Name       identifier.Entry      `yaml:"name"`
+	DataCentre identifier.DataCentre `yaml:"dataCentre"`
+	Listen     Listen                `yaml:"listen"`
+	Platform   Platform              `yaml:"platform"`
+	Peers      []Peer                `yaml:"peers"`
+	HomeShards int                   `yaml:"homeShards"`
+	Leases     Leases                `yaml:"leases"`
+	Polls      Polls                 `yaml:"polls"`
+	Members    Members               `yaml:"members"`
+	Snapshots  Snapshots             `yaml:"snapshots"`
+	Limits     Limits                `yaml:"limits"`
+	Stop       Stop                  `yaml:"stop"`
+	Log        Log                   `yaml:"log"`
+}
+
+// Listen are the addresses of an entry host, by IP and port.
+type Listen struct {
+	Callers string `yaml:"callers"`
+	Admin   string `yaml:"admin"`
+	Peers   string `yaml:"peers"`
+}
+
+// Platform are the addresses of the platform's services.
+type Platform struct {
+	Log      string `yaml:"log"`
+	HostList string `yaml:"hostList"`
+}
+
+// Peer is another entry host; those that are not named are learned from it.
+type Peer struct {
+	Name       identifier.Entry      `yaml:"name"`
+	DataCentre identifier.DataCentre `yaml:"dataCentre"`
+	Address    string                `yaml:"address"`
+}
+
+// Leases are the durations of leases.
+type Leases struct {
+	CellTTL     identifier.Duration `yaml:"cellTTL"`
+	CellRenew   identifier.Duration `yaml:"cellRenew"`
+	WorkerTTL   identifier.Duration `yaml:"workerTTL"`
+	WorkerRenew identifier.Duration `yaml:"workerRenew"`
+}
+
+// Polls are the intervals at which the platform is asked.
+type Polls struct {
+	Log       identifier.Duration `yaml:"log"`
+	HostList  identifier.Duration `yaml:"hostList"`
+	Freshness identifier.Duration `yaml:"freshness"`
+}
+
+// Members are the durations of the membership.
+type Members struct {
+	Interval identifier.Duration `yaml:"interval"`
+	Dead     identifier.Duration `yaml:"dead"`
+	Settle   identifier.Duration `yaml:"settle"`
+}
+
+// Snapshots say when the state of a stream is written to the log again.
+type Snapshots struct {
+	Records int                 `yaml:"records"`
+	Age     identifier.Duration `yaml:"age"`
+}
+
+// Limits bound what the host takes on.
+type Limits struct {
+	Requests int `yaml:"requests"`
+}
+
+// Stop says how a planned stop proceeds.
+type Stop struct {
+	// Notice is how long the host goes on serving after it has said that it is
+	// leaving.
+	Notice identifier.Duration `yaml:"notice"`
+	// Limit is how long requests in flight are waited for.
+	Limit identifier.Duration `yaml:"limit"`
+}
+
+// Log says what is logged.
+type Log struct {
+	Level Level `yaml:"level"`
+}
+
+// Level is a log level.
+type Level string
+
+// Values lists the log levels.
+func (Level) Values() []string { return []string{"debug", "info", "warn", "error"} }
+
+func duration(d time.Duration) identifier.Duration { return identifier.Duration(d) }
+
+// Default returns the settings that hold where a file says nothing.
+func Default() Settings {
+	return Settings{
+		HomeShards: 4,
+		Leases: Leases{
+			CellTTL: duration(1200 * time.Millisecond), CellRenew: duration(400 * time.Millisecond),
+			WorkerTTL: duration(3 * time.Second), WorkerRenew: duration(time.Second),
+		},
+		Polls: Polls{
+			Log: duration(50 * time.Millisecond), HostList: duration(time.Second),
+			Freshness: duration(time.Second),
+		},
+		Members: Members{
+			Interval: duration(200 * time.Millisecond), Dead: duration(time.Second),
+			Settle: duration(time.Second),
+		},
+		Snapshots: Snapshots{Records: 2000, Age: duration(10 * time.Minute)},
+		Limits:    Limits{Requests: 2000},
+		Stop:      Stop{Notice: duration(time.Second), Limit: duration(30 * time.Second)},
+		Log:       Log{Level: "info"},
+	}
+}
+
+// Load reads the settings of a file. The error is a *parser.InvalidError that
+// lists every problem, or that of reading the file.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	return Parse(path, data)
+}
+
+// Parse reads settings from the text of a file.
+func Parse(file string, data []byte) (Settings, error) {
+	s := Default()
+	if err := parser.Decode(file, data, &s); err != nil {
+		return Settings{}, err
+	}
+	if problems := s.check(file); len(problems) > 0 {
+		return Settings{}, &parser.InvalidError{Problems: problems}
+	}
+	return s, nil
+}
+
+// settingsCheck collects the problems of settings.
+type settingsCheck struct {
+	file     string
+	problems []parser.Problem
+}
+
+func (s *Settings) check(file string) []parser.Problem {
+	c := &settingsCheck{file: file}
+	c.require(s.Name != "", "name", "missing", "the name of this entry host")
+	c.require(s.DataCentre != "", "dataCentre", "missing", "the name of a data centre")
+	c.address("listen.callers", s.Listen.Callers)
+	c.address("listen.admin", s.Listen.Admin)
+	c.address("listen.peers", s.Listen.Peers)
+	c.address("platform.log", s.Platform.Log)
+	c.address("platform.hostList", s.Platform.HostList)
+	for i, p := range s.Peers {
+		c.address("peers."+strconv.Itoa(i)+".address", p.Address)
+	}
+	c.require(s.HomeShards > 0 && s.HomeShards <= maxHomeShards, "homeShards", "out of range", "1 to 64")
+	c.require(s.Limits.Requests > 0, "limits.requests", "zero", "a whole number above zero")
+	c.durations(s)
+	return c.problems
+}
+
+// maxHomeShards is the largest number of home shards.
+const maxHomeShards = 64
+
+func (c *settingsCheck) durations(s *Settings) {
+	positive := map[string]identifier.Duration{
+		"leases.cellTTL": s.Leases.CellTTL, "leases.cellRenew": s.Leases.CellRenew,
+		"leases.workerTTL": s.Leases.WorkerTTL, "leases.workerRenew": s.Leases.WorkerRenew,
+		"polls.log": s.Polls.Log, "polls.hostList": s.Polls.HostList, "polls.freshness": s.Polls.Freshness,
+		"members.interval": s.Members.Interval, "members.dead": s.Members.Dead,
+		"snapshots.age": s.Snapshots.Age, "stop.limit": s.Stop.Limit,
+	}
+	for field, d := range positive {
+		c.require(d > 0, field, "zero", "a duration above zero")
+	}
+	c.require(s.Leases.CellRenew*2 <= s.Leases.CellTTL, "leases.cellRenew", "too long", "at most half of leases.cellTTL")
+	c.require(s.Leases.WorkerRenew*2 <= s.Leases.WorkerTTL, "leases.workerRenew", "too long", "at most half of leases.workerTTL")
+	started := s.Polls.Freshness + s.Leases.WorkerTTL
+	c.require(started <= identifier.Duration(maxStartLag), "polls.freshness", "too long",
+		"with leases.workerTTL at most "+maxStartLag.String()+", so that no task starts later in a drained data centre")
+	c.require(s.Members.Interval*2 <= s.Members.Dead, "members.interval", "too long", "at most half of members.dead")
+}
+
+// maxStartLag is how long after a drain a task may still start.
+const maxStartLag = 5 * time.Second
+
+func (c *settingsCheck) address(field, text string) {
+	host, port, err := net.SplitHostPort(text)
+	n, portErr := strconv.Atoi(port)
+	ok := err == nil && portErr == nil && n > 0 && n < 1<<16 && net.ParseIP(host) != nil
+	c.require(ok, field, strconv.Quote(text)+" is not valid", "an IP address and port such as 127.0.0.1:7101")
+}
+
+func (c *settingsCheck) require(ok bool, field, wrong, want string) {
+	if !ok {
+		c.problems = append(c.problems, parser.Problem{
+			Position: parser.Position{File: c.file, Line: 1, Column: 1},
+			Field:    field, Wrong: wrong, Want: want,
+		})
+	}
+}
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,89 @@
+// Package meter holds the metrics of an entry host, by OpenTelemetry, in the
+// exposition format of Prometheus.
+package meter
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/parser"
+)
+
+// Meter records what an entry host does. Its methods are safe for concurrent
+// use.
+type Meter struct {
+	registry *prometheus.Registry
+	meter    metric.Meter
+	requests metric.Float64Histogram
+	sends    metric.Int64Counter
+	waits    metric.Float64Histogram
+}
+
+// latencyBounds are the buckets of latencies, in seconds.
+var latencyBounds = []float64{.0005, .001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.1, 5, 10, 30, 60}
+
+// New returns a meter with nothing recorded.
+func New() (*Meter, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo())
+	if err != nil {
+		return nil, errors.Wrap(err, "create metrics exporter")
+	}
+	m := &Meter{registry: registry}
+	m.meter = sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("balsamcove")
+	bounds := metric.WithExplicitBucketBoundaries(latencyBounds...)
+	var errs [3]error
+	m.requests, errs[0] = m.meter.Float64Histogram("balsamcove.request.duration", metric.WithUnit("s"), bounds,
+		metric.WithDescription("Time from a request's arrival to its answer or refusal."))
+	m.sends, errs[1] = m.meter.Int64Counter("balsamcove.request.sends",
+		metric.WithDescription("Exchanges with minions, retries included."))
+	m.waits, errs[2] = m.meter.Float64Histogram("balsamcove.task.wait", metric.WithUnit("s"), bounds,
+		metric.WithDescription("Time from a task's submission to its start."))
+	return m, errors.Wrap(errors.Join(errs[:]...), "create instruments")
+}
+
+// Gauge registers a value that is read at every scrape.
+func (m *Meter) Gauge(name, description string, read func() int64) error {
+	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	return errors.Wrapf(err, "create gauge %s", name)
+}
+
+// Request records the end of a request; code is "ok" or the code of a refusal.
+func (m *Meter) Request(service *parser.Service, code string, sends int, took time.Duration) {
+	attrs := metric.WithAttributes(
+		attribute.String("service", string(service.Name)),
+		attribute.String("class", string(service.Class)),
+		attribute.String("team", string(service.Team)),
+		attribute.String("code", code),
+	)
+	m.requests.Record(context.Background(), took.Seconds(), attrs)
+	m.sends.Add(context.Background(), int64(sends), attrs)
+}
+
+// TaskStarted records how long a task waited.
+func (m *Meter) TaskStarted(pool identifier.Pool, team identifier.Team, priority parser.Priority, wait time.Duration) {
+	m.waits.Record(context.Background(), wait.Seconds(), metric.WithAttributes(
+		attribute.String("pool", string(pool)),
+		attribute.String("team", string(team)),
+		attribute.String("priority", string(priority)),
+	))
+}
+
+// Handler returns the page that a scraper reads.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/internal/publisher/publisher.go
@@ -0,0 +1,168 @@
+// Package publisher folds the configuration stream: it decides in log order
+// which publication is accepted, and holds the configuration in force.
+package publisher
+
+import (
+	"encoding/json"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/balsamcove/balsamcove/internal/encoder"
+	"github.com/balsamcove/balsamcove/pkg/checker"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/parser"
+)
+
+// maxHistory is the number of accepted publications that are remembered.
+const maxHistory = 512
+
+// ErrUnreadable marks an object in force that this program cannot read.
+var ErrUnreadable = errors.New("configuration object is not readable by this program")
+
+// Change is one accepted publication.
+type Change struct {
+	Publication identifier.Publication   `cbor:"1,keyasint" json:"publication"`
+	Version     identifier.ConfigVersion `cbor:"2,keyasint" json:"version"`
+	Author      string                   `cbor:"3,keyasint" json:"author"`
+	AtUnixMs    int64                    `cbor:"4,keyasint" json:"atUnixMs"`
+	Upserts     []string                 `cbor:"5,keyasint" json:"upserts,omitempty"`
+	Deletes     []string                 `cbor:"6,keyasint" json:"deletes,omitempty"`
+}
+
+// Verdict is the outcome of a publication: Accepted or Conflict.
+type Verdict interface{ isVerdict() }
+
+// Accepted says that the publication put a version in force.
+type Accepted struct{ Change Change }
+
+// Conflict says that another publication had changed the base version first.
+type Conflict struct {
+	InForce identifier.ConfigVersion
+	Winner  Change
+}
+
+func (Accepted) isVerdict() {}
+func (Conflict) isVerdict() {}
+
+// Publisher is the state of the fold. The zero value is an empty configuration
+// at version zero. It is not safe for concurrent use.
+type Publisher struct {
+	version identifier.ConfigVersion
+	objects map[parser.Key][]byte
+	history []Change
+}
+
+// Version returns the version in force.
+func (p *Publisher) Version() identifier.ConfigVersion { return p.version }
+
+// History returns the accepted publications, oldest first.
+func (p *Publisher) History() []Change { return append([]Change(nil), p.history...) }
+
+// Apply folds one publication and returns its verdict. A publication that was
+// accepted before is accepted again without effect.
+func (p *Publisher) Apply(rec encoder.Publish) Verdict {
+	if done, ok := p.Find(rec.Publication); ok {
+		return Accepted{done}
+	}
+	if rec.Base != p.version {
+		return Conflict{InForce: p.version, Winner: p.changeAfter(rec.Base)}
+	}
+	return Accepted{p.accept(rec)}
+}
+
+// Find returns the accepted publication of an identity.
+func (p *Publisher) Find(id identifier.Publication) (Change, bool) {
+	for i := len(p.history) - 1; i >= 0; i-- {
+		if p.history[i].Publication == id {
+			return p.history[i], true
+		}
+	}
+	return Change{}, false
+}
+
+// changeAfter returns the publication that replaced the version base.
+func (p *Publisher) changeAfter(base identifier.ConfigVersion) Change {
+	for _, c := range p.history {
+		if c.Version == base+1 {
+			return c
+		}
+	}
+	return Change{Version: p.version}
+}
+
+func (p *Publisher) accept(rec encoder.Publish) Change {
+	if p.objects == nil {
+		p.objects = map[parser.Key][]byte{}
+	}
+	c := Change{Publication: rec.Publication, Version: p.version + 1, Author: rec.Author, AtUnixMs: rec.AtUnixMs}
+	for _, k := range rec.Deletes {
+		delete(p.objects, k)
+		c.Deletes = append(c.Deletes, k.String())
+	}
+	for _, o := range rec.Upserts {
+		p.objects[o.Key] = o.Data
+		c.Upserts = append(c.Upserts, o.Key.String())
+	}
+	p.version = c.Version
+	p.history = append(p.history, c)
+	if len(p.history) > maxHistory {
+		p.history = append([]Change(nil), p.history[len(p.history)-maxHistory:]...)
+	}
+	return c
+}
+
+// Set decodes the configuration in force. The error is marked ErrUnreadable.
+func (p *Publisher) Set() (*checker.Set, error) {
+	set := checker.NewSet()
+	for k, data := range p.objects {
+		obj := parser.New(k.Kind)
+		if obj == nil {
+			return nil, errors.Mark(errors.Newf("object kind %q", k.Kind), ErrUnreadable)
+		}
+		if err := json.Unmarshal(data, obj); err != nil {
+			return nil, errors.Mark(errors.Wrapf(err, "object %s", k), ErrUnreadable)
+		}
+		set.Put(obj)
+	}
+	return set, nil
+}
+
+// Store returns the object in the form that a publication carries.
+func Store(obj parser.Object) (encoder.StoredObject, error) {
+	data, err := json.Marshal(obj)
+	if err != nil {
+		return encoder.StoredObject{}, errors.Wrapf(err, "encode %s", obj.Key())
+	}
+	return encoder.StoredObject{Key: obj.Key(), Data: data}, nil
+}
+
+type state struct {
+	Version identifier.ConfigVersion `cbor:"1,keyasint"`
+	Objects []encoder.StoredObject   `cbor:"2,keyasint"`
+	History []Change                 `cbor:"3,keyasint"`
+}
+
+// Marshal returns the state for a snapshot.
+func (p *Publisher) Marshal() ([]byte, error) {
+	s := state{Version: p.version, History: p.history}
+	for k, data := range p.objects {
+		s.Objects = append(s.Objects, encoder.StoredObject{Key: k, Data: data})
+	}
+	sort.Slice(s.Objects, func(i, j int) bool { return s.Objects[i].Key.String() < s.Objects[j].Key.String() })
+	return cbor.Marshal(s)
+}
+
+// Unmarshal replaces the state by that of a snapshot.
+func (p *Publisher) Unmarshal(data []byte) error {
+	var s state
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return errors.Mark(err, encoder.ErrMalformed)
+	}
+	*p = Publisher{version: s.Version, objects: map[parser.Key][]byte{}, history: s.History}
+	for _, o := range s.Objects {
+		p.objects[o.Key] = o.Data
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/server/peer.go
@@ -0,0 +1,272 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/coordinator"
+	"github.com/balsamcove/balsamcove/internal/forwarder"
+	"github.com/balsamcove/balsamcove/internal/heartbeater"
+	"github.com/balsamcove/balsamcove/internal/messenger"
+	"github.com/balsamcove/balsamcove/internal/router"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/parser"
+	"github.com/balsamcove/balsamcove/pkg/refuser"
+)
+
+const (
+	// remoteEvery is how many heartbeats within the data centre go by between
+	// two to other data centres.
+	remoteEvery = 4
+	// registerCopies is how many entry hosts remember the identity of a
+	// non-idempotent request.
+	registerCopies  = 3
+	registerTimeout = time.Second
+	stateTimeout    = 2 * time.Second
+)
+
+// handlePeer answers a call of another entry host.
+func (s *Server) handlePeer(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
+	switch method {
+	case messenger.MethodBeat:
+		return answer(params, s.receiveBeat)
+	case messenger.MethodForward:
+		return answer(params, func(req forwarder.Request) (forwarder.Answer, error) { return s.serveForwarded(ctx, req) })
+	case messenger.MethodRegister:
+		return answer(params, func(id identifier.Request) (bool, error) { return s.deduper.Register(id), nil })
+	case messenger.MethodDeregister:
+		return answer(params, func(id identifier.Request) (bool, error) {
+			s.deduper.Deregister(id)
+			return true, nil
+		})
+	case messenger.MethodState:
+		return s.passState()
+	case messenger.MethodExplain:
+		return answer(params, func(id identifier.Task) (coordinator.Explanation, error) { return s.coord.Explain(id), nil })
+	default:
+		return nil, refuser.New(refuser.CodeNotFound, "there is no method %q", method)
+	}
+}
+
+// answer decodes the params of a call and calls fn.
+func answer[In, Out any](params json.RawMessage, fn func(In) (Out, error)) (any, error) {
+	var in In
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, refuser.New(refuser.CodeInvalid, "params are not readable: %v", err)
+	}
+	return fn(in)
+}
+
+// serveForwarded executes a request for a peer on the minions of this host.
+func (s *Server) serveForwarded(ctx context.Context, req forwarder.Request) (forwarder.Answer, error) {
+	s.serving.Add(1)
+	defer s.serving.Add(-1)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.RemainingMs)*time.Millisecond)
+	defer cancel()
+	return s.forwarder.Do(ctx, req, true)
+}
+
+// callPeer sends a request on to another entry host.
+func (s *Server) callPeer(ctx context.Context, entry identifier.Entry, req forwarder.Request) (forwarder.Answer, error) {
+	var out forwarder.Answer
+	address, ok := s.addressOf(entry)
+	if !ok {
+		return out, errors.Mark(errors.Newf("entry host %s is gone", entry), connector.ErrNotSent)
+	}
+	err := s.client.Call(ctx, address, messenger.MethodForward, req, &out)
+	return out, err
+}
+
+func (s *Server) addressOf(entry identifier.Entry) (string, bool) {
+	for _, r := range s.table.Alive() {
+		if r.Entry == entry {
+			return r.Address, true
+		}
+	}
+	return "", false
+}
+
+// beat exchanges heartbeats with the other entry hosts until ctx ends.
+func (s *Server) beat(ctx context.Context) error {
+	ticker := time.NewTicker(s.cfg.Members.Interval.Std())
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		free, inFlight := s.router.Report()
+		ready := s.ready()
+		s.table.SetSelf(func(r *heartbeater.Report) { r.Free, r.InFlight, r.Ready = free, inFlight, ready })
+		for _, to := range s.table.Targets(n%remoteEvery == 0, rand.IntN) {
+			go s.beatOne(ctx, to)
+		}
+		s.updateRouter()
+		if !s.coord.Status().CaughtUp && n%remoteEvery == 0 {
+			s.loadFromPeer(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) beatOne(ctx context.Context, to heartbeater.Address) {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Members.Dead.Std())
+	defer cancel()
+	var reply heartbeater.Beat
+	if err := s.client.Call(ctx, to.Address, messenger.MethodBeat, s.table.Beat(to.DataCentre), &reply); err != nil {
+		s.logger.Debug("heartbeat not answered", zap.String("peer", to.Address), zap.Error(err))
+		return
+	}
+	s.table.Receive(reply)
+}
+
+func (s *Server) receiveBeat(b heartbeater.Beat) (heartbeater.Beat, error) {
+	s.table.Receive(b)
+	from := s.cfg.DataCentre
+	if len(b.Reports) > 0 {
+		from = b.Reports[0].DataCentre
+	}
+	return s.table.Beat(from), nil
+}
+
+// updateRouter passes the membership on to the router.
+func (s *Server) updateRouter() {
+	var peers []router.Peer
+	for _, r := range s.table.Alive() {
+		free := r.Free
+		if r.Leaving || !r.Ready {
+			free = nil
+		}
+		peers = append(peers, router.Peer{Entry: r.Entry, DataCentre: r.DataCentre, Free: free, InFlight: r.InFlight})
+	}
+	s.router.SetMembers(s.table.Settled(), peers)
+}
+
+// loadFromPeer takes the state of all streams from a ready host of this data
+// centre, for when the log cannot be read.
+func (s *Server) loadFromPeer(ctx context.Context) {
+	for _, r := range s.table.Alive() {
+		if r.DataCentre != s.cfg.DataCentre || !r.Ready {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, stateTimeout)
+		var states []coordinator.StreamState
+		err := s.client.Call(call, r.Address, messenger.MethodState, struct{}{}, &states)
+		cancel()
+		if err == nil {
+			err = s.coord.Load(states)
+		}
+		if err == nil {
+			s.logger.Info("state taken from peer", zap.String("peer", string(r.Entry)))
+			return
+		}
+		s.logger.Warn("state not taken from peer", zap.String("peer", string(r.Entry)), zap.Error(err))
+	}
+}
+
+func (s *Server) passState() (any, error) {
+	if !s.coord.Status().CaughtUp {
+		return nil, refuser.New(refuser.CodeNotReady, "this entry host has not caught up")
+	}
+	return s.coord.States()
+}
+
+// register remembers the identity of a non-idempotent request at its home, the
+// entry hosts of a data centre that its hash chooses. The error is a refusal.
+func (s *Server) register(ctx context.Context, id identifier.Request) ([]string, error) {
+	homes, err := s.homesOf(id)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	for i, address := range homes {
+		fresh, err := s.registerAt(ctx, address, id)
+		if err != nil {
+			s.deregister(homes[:i+1], id)
+			return nil, refuser.New(refuser.CodeUnavailable, "the home of request %q cannot be reached", id)
+		}
+		if !fresh {
+			r := refuser.NewUnknown(refuser.CodeDuplicate, "request %q was sent before", id)
+			r.ID = string(id)
+			return nil, r
+		}
+	}
+	return homes, nil
+}
+
+func (s *Server) registerAt(ctx context.Context, address string, id identifier.Request) (bool, error) {
+	if address == s.cfg.Listen.Peers {
+		return s.deduper.Register(id), nil
+	}
+	var fresh bool
+	err := s.client.Call(ctx, address, messenger.MethodRegister, id, &fresh)
+	return fresh, err
+}
+
+// deregister forgets a request that was certainly not executed.
+func (s *Server) deregister(homes []string, id identifier.Request) {
+	ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
+	defer cancel()
+	for _, address := range homes {
+		if address == s.cfg.Listen.Peers {
+			s.deduper.Deregister(id)
+			continue
+		}
+		var done bool
+		if err := s.client.Call(ctx, address, messenger.MethodDeregister, id, &done); err != nil {
+			s.logger.Debug("request stays registered", zap.String("request", string(id)), zap.Error(err))
+		}
+	}
+}
+
+// homesOf returns the addresses of the entry hosts that remember a request.
+func (s *Server) homesOf(id identifier.Request) ([]string, error) {
+	home := s.homeOf(id)
+	type candidate struct {
+		rank    uint64
+		address string
+	}
+	var list []candidate
+	add := func(entry identifier.Entry, address string) {
+		list = append(list, candidate{identifier.Rank(string(id), string(entry)), address})
+	}
+	if home == s.cfg.DataCentre {
+		add(s.cfg.Name, s.cfg.Listen.Peers)
+	}
+	for _, r := range s.table.Alive() {
+		if r.DataCentre == home {
+			add(r.Entry, r.Address)
+		}
+	}
+	if len(list) == 0 {
+		return nil, refuser.New(refuser.CodeUnavailable, "the home of request %q, data centre %q, cannot be reached", id, home)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].rank > list[j].rank })
+	var out []string
+	for _, c := range list[:min(len(list), registerCopies)] {
+		out = append(out, c.address)
+	}
+	return out, nil
+}
+
+// homeOf returns the data centre that remembers a request.
+func (s *Server) homeOf(id identifier.Request) identifier.DataCentre {
+	best, rank := s.cfg.DataCentre, uint64(0)
+	for name, dc := range s.coord.Set().DataCentres {
+		if dc.State != parser.InService {
+			continue
+		}
+		if v := identifier.Rank(string(id), string(name)); v > rank {
+			best, rank = name, v
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/server/request.go
@@ -0,0 +1,140 @@
+package server
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"github.com/balsamcove/balsamcove/internal/dialer"
+	"github.com/balsamcove/balsamcove/internal/forwarder"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/parser"
+	"github.com/balsamcove/balsamcove/pkg/refuser"
+)
+
+const (
+	maxDeadline     = time.Minute
+	maxRequestIDLen = 128
+	codeOK          = "ok"
+)
+
+// handleRequest answers a caller's request for a service.
+func (s *Server) handleRequest(ctx context.Context, c *app.RequestContext) {
+	s.serving.Add(1)
+	defer s.serving.Add(-1)
+	if s.leaving.Load() {
+		c.SetConnectionClose()
+	}
+	arrived := time.Now()
+	name := identifier.Service(c.Param("service"))
+	service, ok := s.coord.Set().Services[name]
+	if !s.coord.Status().CaughtUp {
+		writeRefusal(c, refuser.New(refuser.CodeNotReady, "this entry host has not caught up with the log"))
+		return
+	}
+	if !ok {
+		writeRefusal(c, refuser.New(refuser.CodeNotFound, "there is no service %q", name))
+		return
+	}
+	req, err := readRequest(c, service)
+	if err != nil {
+		writeRefusal(c, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, arrived.Add(time.Duration(req.RemainingMs)*time.Millisecond))
+	defer cancel()
+	answer, err := s.serve(ctx, service, req)
+	s.writeAnswer(c, service, req, answer, err, time.Since(arrived))
+}
+
+func (s *Server) writeAnswer(c *app.RequestContext, service *parser.Service, req forwarder.Request, a forwarder.Answer, err error, took time.Duration) {
+	c.Header(dialer.HeaderRequestID, string(req.ID))
+	if err != nil {
+		refusal := refuser.From(err)
+		s.meter.Request(service, string(refusal.Code), a.Sends, took)
+		writeRefusal(c, refusal)
+		return
+	}
+	s.meter.Request(service, codeOK, a.Sends, took)
+	c.Header(dialer.HeaderMinion, string(a.Minion))
+	c.Data(a.Status, "application/octet-stream", a.Body)
+}
+
+// serve executes a request within the limits of this host.
+func (s *Server) serve(ctx context.Context, service *parser.Service, req forwarder.Request) (forwarder.Answer, error) {
+	if !s.gate.Enter(service.Class) {
+		return forwarder.Answer{}, refuser.New(refuser.CodeOverloaded, "this entry host works on %d requests", s.gate.In())
+	}
+	defer s.gate.Leave()
+	if req.Idempotent {
+		return s.forwarder.Do(ctx, req, false)
+	}
+	homes, err := s.register(ctx, req.ID)
+	if err != nil {
+		return forwarder.Answer{}, err
+	}
+	answer, err := s.forwarder.Do(ctx, req, false)
+	if err != nil && refuser.From(err).Effect == refuser.NotRun {
+		s.deregister(homes, req.ID)
+	}
+	return answer, err
+}
+
+func readRequest(c *app.RequestContext, service *parser.Service) (forwarder.Request, error) {
+	req := forwarder.Request{
+		ID:          identifier.Request(c.Request.Header.Get(dialer.HeaderRequestID)),
+		Service:     service.Name,
+		RemainingMs: service.Deadline.Std().Milliseconds(),
+		Body:        append([]byte(nil), c.Request.Body()...),
+	}
+	if req.ID == "" {
+		req.ID = identifier.Request(identifier.NewName("r-"))
+	}
+	if len(req.ID) > maxRequestIDLen {
+		return req, refuser.New(refuser.CodeInvalid, "%s is longer than %d characters", dialer.HeaderRequestID, maxRequestIDLen)
+	}
+	if text := c.Request.Header.Get(dialer.HeaderIdempotent); text != "" {
+		b, err := strconv.ParseBool(text)
+		if err != nil {
+			return req, refuser.New(refuser.CodeInvalid, "%s is %q, not true or false", dialer.HeaderIdempotent, text)
+		}
+		req.Idempotent = b
+	}
+	if text := c.Request.Header.Get(dialer.HeaderDeadline); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
+			return req, refuser.New(refuser.CodeInvalid, "%s is %q, not 1 to %d", dialer.HeaderDeadline, text, maxDeadline.Milliseconds())
+		}
+		req.RemainingMs = ms
+	}
+	return req, nil
+}
+
+// writeRefusal answers with a refusal and the HTTP status that fits it.
+func writeRefusal(c *app.RequestContext, err error) {
+	refusal := refuser.From(err)
+	c.Header(dialer.HeaderEffect, string(refusal.Effect))
+	c.JSON(statusOf(refusal.Code), refusal)
+}
+
+func statusOf(code refuser.Code) int {
+	switch code {
+	case refuser.CodeInvalid, refuser.CodeNeverFits:
+		return consts.StatusBadRequest
+	case refuser.CodeNotFound:
+		return consts.StatusNotFound
+	case refuser.CodeConflict, refuser.CodeDuplicate, refuser.CodeAlreadyEnded:
+		return consts.StatusConflict
+	case refuser.CodeTooLarge:
+		return consts.StatusRequestEntityTooLarge
+	case refuser.CodeDeadline:
+		return consts.StatusGatewayTimeout
+	case refuser.CodeBroken:
+		return consts.StatusBadGateway
+	default:
+		return consts.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/internal/tracker/tracker.go
@@ -0,0 +1,284 @@
+// Package tracker folds a home stream: it decides in log order which data
+// centre may execute which attempt of a task, and how each task ended.
+package tracker
+
+import (
+	"sort"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/balsamcove/balsamcove/internal/encoder"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+)
+
+// maxEnded is the number of ended tasks that a shard remembers.
+const maxEnded = 20000
+
+// State is the state of a task.
+type State string
+
+// The states of a task.
+const (
+	StateWaiting State = "waiting"
+	StateClaimed State = "claimed"
+	StateEnded   State = "ended"
+)
+
+// Failure is one attempt that failed on a worker.
+type Failure struct {
+	Worker identifier.Worker `cbor:"1,keyasint" json:"worker"`
+	Detail string            `cbor:"2,keyasint" json:"detail"`
+}
+
+// Task is what the stream says about a task. Seq orders tasks by submission.
+type Task struct {
+	ID         identifier.Task       `cbor:"1,keyasint" json:"id"`
+	Pool       identifier.Pool       `cbor:"2,keyasint" json:"pool"`
+	Payload    string                `cbor:"3,keyasint" json:"-"`
+	AtUnixMs   int64                 `cbor:"4,keyasint" json:"submittedAtUnixMs"`
+	Seq        uint64                `cbor:"5,keyasint" json:"seq"`
+	State      State                 `cbor:"6,keyasint" json:"state"`
+	Attempt    identifier.Attempt    `cbor:"7,keyasint" json:"attempt"`
+	DataCentre identifier.DataCentre `cbor:"8,keyasint" json:"dataCentre,omitempty"`
+	Worker     identifier.Worker     `cbor:"9,keyasint" json:"worker,omitempty"`
+	Size       identifier.Size       `cbor:"10,keyasint" json:"size"`
+	Checkpoint string                `cbor:"11,keyasint" json:"checkpoint,omitempty"`
+	Cancelled  bool                  `cbor:"12,keyasint" json:"cancelRequested,omitempty"`
+	Outcome    encoder.Outcome       `cbor:"13,keyasint" json:"outcome,omitempty"`
+	Detail     string                `cbor:"14,keyasint" json:"detail,omitempty"`
+	Failures   []Failure             `cbor:"15,keyasint" json:"failures,omitempty"`
+	Released   encoder.Reason        `cbor:"16,keyasint" json:"lastRelease,omitempty"`
+	Evictions  int                   `cbor:"17,keyasint" json:"evictions"`
+	EndSeq     uint64                `cbor:"18,keyasint" json:"-"`
+	GraceMs    int64                 `cbor:"19,keyasint" json:"cutOffGraceMs,omitempty"`
+}
+
+// FailedOn reports whether an attempt failed on the worker.
+func (t *Task) FailedOn(w identifier.Worker) bool {
+	for _, f := range t.Failures {
+		if f.Worker == w {
+			return true
+		}
+	}
+	return false
+}
+
+// Verdict is the outcome of a record: whether it was applied and, if not, why.
+type Verdict struct {
+	Applied bool
+	Cause   Cause
+	Task    Task
+}
+
+// Cause says why a record was not applied.
+type Cause string
+
+// The causes.
+const (
+	CauseNone       Cause = ""
+	CauseUnknown    Cause = "unknownTask"
+	CauseOtherInput Cause = "submittedWithOtherInput"
+	CauseEnded      Cause = "alreadyEnded"
+	CauseNotWaiting Cause = "notWaiting"
+	CauseStale      Cause = "staleAttempt"
+)
+
+// Tracker is the state of the fold. The zero value holds no task. It is not
+// safe for concurrent use.
+type Tracker struct {
+	tasks   map[identifier.Task]*Task
+	nextSeq uint64
+	ended   []identifier.Task
+}
+
+// Get returns a copy of a task.
+func (t *Tracker) Get(id identifier.Task) (Task, bool) {
+	task, ok := t.tasks[id]
+	if !ok {
+		return Task{}, false
+	}
+	return *task, true
+}
+
+// All returns copies of all tasks, ordered by submission.
+func (t *Tracker) All() []Task {
+	out := make([]Task, 0, len(t.tasks))
+	for _, task := range t.tasks {
+		out = append(out, *task)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Seq < out[j].Seq })
+	return out
+}
+
+// Apply folds one record and returns its verdict. A record that is repeated
+// has no further effect.
+func (t *Tracker) Apply(body encoder.Body) Verdict {
+	switch rec := body.(type) {
+	case encoder.Submit:
+		return t.submit(rec)
+	case encoder.Cancel:
+		return t.cancel(rec)
+	case encoder.Claim:
+		return t.claim(rec)
+	case encoder.Release:
+		return t.release(rec)
+	case encoder.End:
+		return t.end(rec)
+	default:
+		return Verdict{Cause: CauseUnknown}
+	}
+}
+
+func (t *Tracker) submit(rec encoder.Submit) Verdict {
+	if old, ok := t.tasks[rec.Task]; ok {
+		if old.Pool != rec.Pool || old.Payload != rec.Payload {
+			return refuse(old, CauseOtherInput)
+		}
+		return applied(old)
+	}
+	if t.tasks == nil {
+		t.tasks = map[identifier.Task]*Task{}
+	}
+	t.nextSeq++
+	task := &Task{
+		ID: rec.Task, Pool: rec.Pool, Payload: rec.Payload,
+		AtUnixMs: rec.AtUnixMs, Seq: t.nextSeq, State: StateWaiting,
+	}
+	t.tasks[rec.Task] = task
+	return applied(task)
+}
+
+func (t *Tracker) cancel(rec encoder.Cancel) Verdict {
+	task, ok := t.tasks[rec.Task]
+	switch {
+	case !ok:
+		return Verdict{Cause: CauseUnknown}
+	case task.State == StateEnded && task.Outcome != encoder.OutcomeCancelled:
+		return refuse(task, CauseEnded)
+	case task.State == StateWaiting:
+		task.Cancelled = true
+		t.finish(task, encoder.OutcomeCancelled, "")
+	default:
+		task.Cancelled = true
+	}
+	return applied(task)
+}
+
+func (t *Tracker) claim(rec encoder.Claim) Verdict {
+	task, ok := t.tasks[rec.Task]
+	switch {
+	case !ok:
+		return Verdict{Cause: CauseUnknown}
+	case task.State != StateWaiting:
+		return refuse(task, CauseNotWaiting)
+	case rec.Attempt != task.Attempt+1:
+		return refuse(task, CauseStale)
+	}
+	task.State = StateClaimed
+	task.Attempt = rec.Attempt
+	task.DataCentre = rec.DataCentre
+	task.Worker = rec.Worker
+	task.Size = rec.Size
+	task.GraceMs = rec.GraceMs
+	return applied(task)
+}
+
+func (t *Tracker) release(rec encoder.Release) Verdict {
+	task, cause := t.current(rec.Task, rec.Attempt)
+	if cause != CauseNone {
+		return Verdict{Cause: cause}
+	}
+	if rec.Checkpoint != "" {
+		task.Checkpoint = rec.Checkpoint
+	}
+	task.Released = rec.Reason
+	switch rec.Reason {
+	case encoder.ReasonFailed:
+		task.Failures = append(task.Failures, Failure{task.Worker, rec.Detail})
+	case encoder.ReasonDrained, encoder.ReasonWorkerLost, encoder.ReasonCutOff:
+		task.Evictions++
+	case encoder.ReasonNoRoom, encoder.ReasonCancelled:
+	}
+	task.State = StateWaiting
+	task.DataCentre, task.Worker = "", ""
+	switch {
+	case task.Cancelled:
+		t.finish(task, encoder.OutcomeCancelled, "")
+	case rec.MaxAttempts > 0 && len(task.Failures) >= rec.MaxAttempts:
+		t.finish(task, encoder.OutcomeParked, rec.Detail)
+	}
+	return applied(task)
+}
+
+func (t *Tracker) end(rec encoder.End) Verdict {
+	task, cause := t.current(rec.Task, rec.Attempt)
+	if cause != CauseNone {
+		return Verdict{Cause: cause}
+	}
+	t.finish(task, rec.Outcome, rec.Detail)
+	return applied(task)
+}
+
+// current returns a task whose claimed attempt is the given one.
+func (t *Tracker) current(id identifier.Task, attempt identifier.Attempt) (*Task, Cause) {
+	task, ok := t.tasks[id]
+	switch {
+	case !ok:
+		return nil, CauseUnknown
+	case task.State == StateEnded:
+		return nil, CauseEnded
+	case task.State != StateClaimed || task.Attempt != attempt:
+		return nil, CauseStale
+	}
+	return task, CauseNone
+}
+
+func (t *Tracker) finish(task *Task, outcome encoder.Outcome, detail string) {
+	task.State = StateEnded
+	task.Outcome = outcome
+	task.Detail = detail
+	t.nextSeq++
+	task.EndSeq = t.nextSeq
+	t.ended = append(t.ended, task.ID)
+	if len(t.ended) > maxEnded {
+		delete(t.tasks, t.ended[0])
+		t.ended = t.ended[1:]
+	}
+}
+
+func applied(task *Task) Verdict { return Verdict{Applied: true, Task: *task} }
+
+func refuse(task *Task, cause Cause) Verdict { return Verdict{Cause: cause, Task: *task} }
+
+type state struct {
+	NextSeq uint64 `cbor:"1,keyasint"`
+	Tasks   []Task `cbor:"2,keyasint"`
+}
+
+// Marshal returns the state for a snapshot.
+func (t *Tracker) Marshal() ([]byte, error) {
+	return cbor.Marshal(state{NextSeq: t.nextSeq, Tasks: t.All()})
+}
+
+// Unmarshal replaces the state by that of a snapshot.
+func (t *Tracker) Unmarshal(data []byte) error {
+	var s state
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return errors.Mark(err, encoder.ErrMalformed)
+	}
+	*t = Tracker{tasks: make(map[identifier.Task]*Task, len(s.Tasks)), nextSeq: s.NextSeq}
+	var ended []Task
+	for i := range s.Tasks {
+		task := s.Tasks[i]
+		t.tasks[task.ID] = &task
+		if task.State == StateEnded {
+			ended = append(ended, task)
+		}
+	}
+	sort.Slice(ended, func(i, j int) bool { return ended[i].EndSeq < ended[j].EndSeq })
+	for _, task := range ended {
+		t.ended = append(t.ended, task.ID)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/checker/checker.go
@@ -0,0 +1,227 @@
+// Package checker decides whether a whole set of configuration objects may be
+// put in force.
+package checker
+
+import (
+	"fmt"
+	"regexp"
+	"sort"
+
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/parser"
+)
+
+const maxNameLength = 63
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+
+// Set is a whole configuration, by kind and name.
+type Set struct {
+	Services    map[identifier.Service]*parser.Service
+	Pools       map[identifier.Pool]*parser.BatchPool
+	DataCentres map[identifier.DataCentre]*parser.DataCentre
+	Policies    map[identifier.Policy]*parser.PlacementPolicy
+	Teams       map[identifier.Team]*parser.Team
+}
+
+// NewSet returns the set of the given objects; a later one replaces an earlier
+// one of the same key.
+func NewSet(objects ...parser.Object) *Set {
+	s := &Set{
+		Services:    map[identifier.Service]*parser.Service{},
+		Pools:       map[identifier.Pool]*parser.BatchPool{},
+		DataCentres: map[identifier.DataCentre]*parser.DataCentre{},
+		Policies:    map[identifier.Policy]*parser.PlacementPolicy{},
+		Teams:       map[identifier.Team]*parser.Team{},
+	}
+	for _, obj := range objects {
+		s.Put(obj)
+	}
+	return s
+}
+
+// Put adds an object or replaces the one of the same key.
+func (s *Set) Put(obj parser.Object) {
+	switch o := obj.(type) {
+	case *parser.Service:
+		s.Services[o.Name] = o
+	case *parser.BatchPool:
+		s.Pools[o.Name] = o
+	case *parser.DataCentre:
+		s.DataCentres[o.Name] = o
+	case *parser.PlacementPolicy:
+		s.Policies[o.Name] = o
+	case *parser.Team:
+		s.Teams[o.Name] = o
+	}
+}
+
+// Delete removes the object of a key and reports whether there was one.
+func (s *Set) Delete(k parser.Key) bool {
+	before := s.Len()
+	switch k.Kind {
+	case parser.KindService:
+		delete(s.Services, identifier.Service(k.Name))
+	case parser.KindBatchPool:
+		delete(s.Pools, identifier.Pool(k.Name))
+	case parser.KindDataCentre:
+		delete(s.DataCentres, identifier.DataCentre(k.Name))
+	case parser.KindPolicy:
+		delete(s.Policies, identifier.Policy(k.Name))
+	case parser.KindTeam:
+		delete(s.Teams, identifier.Team(k.Name))
+	}
+	return s.Len() < before
+}
+
+// Len returns the number of objects.
+func (s *Set) Len() int {
+	return len(s.Services) + len(s.Pools) + len(s.DataCentres) + len(s.Policies) + len(s.Teams)
+}
+
+// Objects returns all objects, ordered by key.
+func (s *Set) Objects() []parser.Object {
+	out := make([]parser.Object, 0, s.Len())
+	out = appendValues(out, s.Services)
+	out = appendValues(out, s.Pools)
+	out = appendValues(out, s.DataCentres)
+	out = appendValues(out, s.Policies)
+	out = appendValues(out, s.Teams)
+	sort.Slice(out, func(i, j int) bool { return out[i].Key().String() < out[j].Key().String() })
+	return out
+}
+
+func appendValues[K comparable, V parser.Object](out []parser.Object, from map[K]V) []parser.Object {
+	for _, v := range from {
+		out = append(out, v)
+	}
+	return out
+}
+
+// Locate returns where a field of an object was written.
+type Locate func(k parser.Key, field string) parser.Position
+
+// check collects the problems of one set.
+type check struct {
+	set      *Set
+	locate   Locate
+	problems []parser.Problem
+}
+
+// Check returns every problem of a set; locate may be nil.
+func Check(set *Set, locate Locate) []parser.Problem {
+	if locate == nil {
+		locate = func(parser.Key, string) parser.Position { return parser.Position{} }
+	}
+	c := &check{set: set, locate: locate}
+	for _, obj := range set.Objects() {
+		c.object(obj)
+	}
+	return c.problems
+}
+
+func (c *check) object(obj parser.Object) {
+	c.name(obj.Key())
+	switch o := obj.(type) {
+	case *parser.Service:
+		c.service(o)
+	case *parser.BatchPool:
+		c.pool(o)
+	case *parser.DataCentre:
+		c.dataCentre(o)
+	case *parser.PlacementPolicy:
+		c.policy(o)
+	case *parser.Team:
+		c.size(o.Key(), "quota", o.Quota)
+	}
+}
+
+func (c *check) name(k parser.Key) {
+	if len(k.Name) > maxNameLength || !namePattern.MatchString(k.Name) {
+		c.fail(k, "name", fmt.Sprintf("%q is not a name", k.Name), "lower-case letters, digits and hyphens, at most 63")
+	}
+}
+
+func (c *check) service(o *parser.Service) {
+	c.owner(o.Key(), o.Team, o.Policy)
+	if o.Deadline == 0 {
+		c.fail(o.Key(), "deadline", "zero", "a duration above zero such as 800ms")
+	}
+}
+
+func (c *check) pool(o *parser.BatchPool) {
+	k := o.Key()
+	c.owner(k, o.Team, o.Policy)
+	c.size(k, "size", o.Size)
+	if o.Size.Processors == 0 {
+		c.fail(k, "size.processors", "zero", "a number of processors above zero")
+	}
+	if o.Size.Memory == 0 {
+		c.fail(k, "size.memory", "zero", "an amount of memory above zero")
+	}
+	if o.MaxAttempts == 0 {
+		c.fail(k, "maxAttempts", "zero", "a whole number above zero")
+	}
+	team, ok := c.set.Teams[o.Team]
+	if ok && !o.Size.Fits(team.Quota) {
+		c.fail(k, "size", fmt.Sprintf("larger than the quota of team %q (%s)", o.Team, team.Quota), "a size within the quota")
+	}
+}
+
+func (c *check) dataCentre(o *parser.DataCentre) {
+	if o.Region == "" {
+		c.fail(o.Key(), "region", "missing", "the name of a region")
+	}
+	if o.DrainRate == 0 {
+		c.fail(o.Key(), "drainRate", "zero", "tasks a second, above zero")
+	}
+}
+
+func (c *check) policy(o *parser.PlacementPolicy) {
+	if len(o.DataCentres) == 0 {
+		c.fail(o.Key(), "dataCentres", "empty", "at least one data centre")
+	}
+	seen := map[identifier.DataCentre]bool{}
+	for i, dc := range o.DataCentres {
+		field := fmt.Sprintf("dataCentres.%d", i)
+		if _, ok := c.set.DataCentres[dc]; !ok {
+			c.dangling(o.Key(), field, parser.KindDataCentre, string(dc))
+		}
+		if seen[dc] {
+			c.fail(o.Key(), field, fmt.Sprintf("%q stands twice", dc), "each data centre once")
+		}
+		seen[dc] = true
+	}
+}
+
+func (c *check) owner(k parser.Key, team identifier.Team, policy identifier.Policy) {
+	if _, ok := c.set.Teams[team]; !ok {
+		c.dangling(k, "team", parser.KindTeam, string(team))
+	}
+	if _, ok := c.set.Policies[policy]; !ok {
+		c.dangling(k, "policy", parser.KindPolicy, string(policy))
+	}
+}
+
+func (c *check) size(k parser.Key, field string, s identifier.Size) {
+	if s.IsZero() {
+		c.fail(k, field, "a size of zero", "processors, memory or accelerators above zero")
+	}
+}
+
+func (c *check) dangling(k parser.Key, field string, kind parser.Kind, name string) {
+	if name == "" {
+		c.fail(k, field, "missing", "the name of a "+string(kind))
+		return
+	}
+	c.fail(k, field, fmt.Sprintf("there is no %s %q", kind, name), "a "+string(kind)+" of the set")
+}
+
+func (c *check) fail(k parser.Key, field, wrong, want string) {
+	c.problems = append(c.problems, parser.Problem{
+		Position: c.locate(k, field),
+		Field:    k.String() + " " + field,
+		Wrong:    wrong,
+		Want:     want,
+	})
+}
--- /dev/null
+++ b/pkg/client/client.go
@@ -0,0 +1,192 @@
+// Package client calls the administration API and the services of entry hosts.
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	hertz "github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/cockroachdb/errors"
+
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/refuser"
+)
+
+const (
+	dialTimeout    = time.Second
+	defaultTimeout = 15 * time.Second
+)
+
+// ErrNoServer marks a call for which no entry host could be reached.
+var ErrNoServer = errors.New("no entry host can be reached")
+
+// Client calls entry hosts at the given addresses, the first that can be
+// reached. Its methods are safe for concurrent use. Every error is a
+// *refuser.Refusal.
+type Client struct {
+	http    *hertz.Client
+	servers []string
+	timeout time.Duration
+}
+
+// Option configures a Client.
+type Option func(*Client)
+
+// WithTimeout bounds every call.
+func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
+
+// New returns a client for entry hosts, by IP and port.
+func New(servers []string, opts ...Option) (*Client, error) {
+	http, err := hertz.NewClient(hertz.WithDialer(standard.NewDialer()), hertz.WithDialTimeout(dialTimeout))
+	if err != nil {
+		return nil, errors.Wrap(err, "create HTTP client")
+	}
+	c := &Client{http: http, servers: servers, timeout: defaultTimeout}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c, nil
+}
+
+// Status returns what the entry host says about itself.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return call[Status](ctx, c, consts.MethodGet, "/v1/status", nil)
+}
+
+// Config returns the configuration in force.
+func (c *Client) Config(ctx context.Context) (Config, error) {
+	return call[Config](ctx, c, consts.MethodGet, "/v1/config", nil)
+}
+
+// History returns the accepted publications.
+func (c *Client) History(ctx context.Context) (History, error) {
+	return call[History](ctx, c, consts.MethodGet, "/v1/config/history", nil)
+}
+
+// Publish changes the configuration.
+func (c *Client) Publish(ctx context.Context, p Publication) (Change, error) {
+	return call[Change](ctx, c, consts.MethodPost, "/v1/config/publications", p)
+}
+
+// Submit submits a task.
+func (c *Client) Submit(ctx context.Context, s Submission) (Task, error) {
+	return call[Task](ctx, c, consts.MethodPost, "/v1/tasks", s)
+}
+
+// Task returns the state of a task.
+func (c *Client) Task(ctx context.Context, id identifier.Task) (Task, error) {
+	return call[Task](ctx, c, consts.MethodGet, taskPath(id), nil)
+}
+
+// Tasks returns the tasks of a state and a pool; empty means all.
+func (c *Client) Tasks(ctx context.Context, state string, pool identifier.Pool) (Tasks, error) {
+	q := url.Values{"state": {state}, "pool": {string(pool)}}
+	return call[Tasks](ctx, c, consts.MethodGet, "/v1/tasks?"+q.Encode(), nil)
+}
+
+// Cancel asks for a task to be stopped for good.
+func (c *Client) Cancel(ctx context.Context, id identifier.Task) (Task, error) {
+	return call[Task](ctx, c, consts.MethodPost, taskPath(id)+"/cancel", struct{}{})
+}
+
+// Explain says why a task is in its state.
+func (c *Client) Explain(ctx context.Context, id identifier.Task) (Explanation, error) {
+	return call[Explanation](ctx, c, consts.MethodGet, taskPath(id)+"/explain", nil)
+}
+
+// Progress returns what is left in a data centre.
+func (c *Client) Progress(ctx context.Context, dc identifier.DataCentre) (Progress, error) {
+	return call[Progress](ctx, c, consts.MethodGet, "/v1/dataCentres/"+url.PathEscape(string(dc)), nil)
+}
+
+func taskPath(id identifier.Task) string { return "/v1/tasks/" + url.PathEscape(string(id)) }
+
+// Request sends a request for a service and returns the minion's whole answer.
+func (c *Client) Request(ctx context.Context, r Request) (Answer, error) {
+	resp, err := c.do(ctx, consts.MethodPost, "/v1/services/"+url.PathEscape(string(r.Service))+"/requests", r.Body, func(req *protocol.Request) {
+		req.Header.Set("X-Idempotent", strconv.FormatBool(r.Idempotent))
+		if r.ID != "" {
+			req.Header.Set("X-Request-Id", string(r.ID))
+		}
+		if r.DeadlineMs > 0 {
+			req.Header.Set("X-Deadline-Ms", strconv.FormatInt(r.DeadlineMs, 10))
+		}
+	})
+	if err != nil {
+		return Answer{}, err
+	}
+	if resp.Header.Get("X-Effect") != "" {
+		return Answer{}, readRefusal(resp)
+	}
+	return Answer{
+		Status: resp.StatusCode(), Body: resp.Body(),
+		RequestID: identifier.Request(resp.Header.Get("X-Request-Id")),
+		Minion:    identifier.Minion(resp.Header.Get("X-Minion")),
+	}, nil
+}
+
+// call sends a JSON body and decodes the JSON answer.
+func call[Out any](ctx context.Context, c *Client, method, path string, in any) (Out, error) {
+	var out Out
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return out, refuser.New(refuser.CodeInvalid, "encode call: %v", err)
+		}
+	}
+	resp, err := c.do(ctx, method, path, body, func(req *protocol.Request) {
+		req.Header.SetContentTypeBytes([]byte("application/json"))
+	})
+	if err != nil {
+		return out, err
+	}
+	if resp.StatusCode() != consts.StatusOK {
+		return out, readRefusal(resp)
+	}
+	if err := json.Unmarshal(resp.Body(), &out); err != nil {
+		return out, refuser.NewUnknown(refuser.CodeBroken, "answer is not readable: %v", err)
+	}
+	return out, nil
+}
+
+// do sends a call to the first server that can be reached.
+func (c *Client) do(ctx context.Context, method, path string, body []byte, prepare func(*protocol.Request)) (*protocol.Response, error) {
+	for _, server := range c.servers {
+		req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+		req.SetMethod(method)
+		req.SetRequestURI("http://" + server + path)
+		req.SetBody(body)
+		req.SetOptions(config.WithRequestTimeout(c.timeout))
+		prepare(req)
+		err := c.http.Do(ctx, req, resp)
+		if err == nil {
+			return resp, nil
+		}
+		if !notSent(err) {
+			return nil, refuser.NewUnknown(refuser.CodeUnavailable, "entry host %s: %v", server, err)
+		}
+	}
+	return nil, refuser.New(refuser.CodeUnavailable, "%v: %v", ErrNoServer, c.servers)
+}
+
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func readRefusal(resp *protocol.Response) error {
+	var r refuser.Refusal
+	if json.Unmarshal(resp.Body(), &r) != nil || r.Code == "" {
+		return refuser.NewUnknown(refuser.CodeBroken, "HTTP status %d", resp.StatusCode())
+	}
+	return &r
+}
--- /dev/null
+++ b/pkg/parser/object.go
@@ -0,0 +1,209 @@
+package parser
+
+import (
+	"time"
+
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+)
+
+// Kind names a kind of configuration object.
+type Kind string
+
+// The kinds of objects.
+const (
+	KindService    Kind = "service"
+	KindBatchPool  Kind = "batchPool"
+	KindDataCentre Kind = "dataCentre"
+	KindPolicy     Kind = "placementPolicy"
+	KindTeam       Kind = "team"
+)
+
+// Values lists the kinds.
+func (Kind) Values() []string {
+	return []string{string(KindService), string(KindBatchPool), string(KindDataCentre), string(KindPolicy), string(KindTeam)}
+}
+
+// Key identifies an object within a configuration.
+type Key struct {
+	Kind Kind   `json:"kind" cbor:"1,keyasint"`
+	Name string `json:"name" cbor:"2,keyasint"`
+}
+
+// String returns the key as operators write it, such as service/hire-desk.
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
+
+// Object is a configuration object: *Service, *BatchPool, *DataCentre,
+// *PlacementPolicy or *Team.
+type Object interface {
+	// Key returns the identity of the object.
+	Key() Key
+}
+
+// Class orders requests when not all can be served.
+type Class string
+
+// The classes of requests, most urgent first.
+const (
+	ClassCritical Class = "latencyCritical"
+	ClassStandard Class = "standard"
+)
+
+// Values lists the classes.
+func (Class) Values() []string { return []string{string(ClassCritical), string(ClassStandard)} }
+
+// Priority orders tasks that wait for room.
+type Priority string
+
+// The priorities, most urgent first.
+const (
+	PriorityUrgent Priority = "urgent"
+	PriorityNormal Priority = "normal"
+	PriorityLow    Priority = "low"
+)
+
+// Values lists the priorities.
+func (Priority) Values() []string {
+	return []string{string(PriorityUrgent), string(PriorityNormal), string(PriorityLow)}
+}
+
+// Mode tells tasks that end by themselves from those that run until cancelled.
+type Mode string
+
+// The modes of a batch pool.
+const (
+	ModeRun   Mode = "run"
+	ModeWatch Mode = "watch"
+)
+
+// Values lists the modes.
+func (Mode) Values() []string { return []string{string(ModeRun), string(ModeWatch)} }
+
+// Availability says whether a data centre takes new work.
+type Availability string
+
+// The availabilities of a data centre.
+const (
+	InService Availability = "inService"
+	Drained   Availability = "drained"
+)
+
+// Values lists the availabilities.
+func (Availability) Values() []string { return []string{string(InService), string(Drained)} }
+
+// Order says how a policy ranks its data centres.
+type Order string
+
+// The orders of a placement policy.
+const (
+	OrderNearFirst Order = "nearFirst"
+	OrderSpread    Order = "spread"
+)
+
+// Values lists the orders.
+func (Order) Values() []string { return []string{string(OrderNearFirst), string(OrderSpread)} }
+
+// Service is a latency-critical service that minions answer for.
+type Service struct {
+	Kind     Kind                `yaml:"kind" json:"kind"`
+	Name     identifier.Service  `yaml:"name" json:"name"`
+	Team     identifier.Team     `yaml:"team" json:"team"`
+	Policy   identifier.Policy   `yaml:"policy" json:"policy"`
+	Class    Class               `yaml:"class" json:"class"`
+	Deadline identifier.Duration `yaml:"deadline" json:"deadline"`
+}
+
+// BatchPool is a queue of tasks of one shape.
+type BatchPool struct {
+	Kind        Kind                `yaml:"kind" json:"kind"`
+	Name        identifier.Pool     `yaml:"name" json:"name"`
+	Team        identifier.Team     `yaml:"team" json:"team"`
+	Policy      identifier.Policy   `yaml:"policy" json:"policy"`
+	Priority    Priority            `yaml:"priority" json:"priority"`
+	Mode        Mode                `yaml:"mode" json:"mode"`
+	Size        identifier.Size     `yaml:"size" json:"size"`
+	RunTime     identifier.Duration `yaml:"runTime,omitempty" json:"runTime,omitempty"`
+	MaxAttempts int                 `yaml:"maxAttempts" json:"maxAttempts"`
+	CutOffGrace identifier.Duration `yaml:"cutOffGrace,omitempty" json:"cutOffGrace,omitempty"`
+}
+
+// DataCentre is a group of workers, minions and entry hosts.
+type DataCentre struct {
+	Kind      Kind                  `yaml:"kind" json:"kind"`
+	Name      identifier.DataCentre `yaml:"name" json:"name"`
+	Region    identifier.Region     `yaml:"region" json:"region"`
+	State     Availability          `yaml:"state" json:"state"`
+	DrainRate int                   `yaml:"drainRate,omitempty" json:"drainRate,omitempty"`
+}
+
+// PlacementPolicy says which data centres may hold work, and in what order.
+type PlacementPolicy struct {
+	Kind        Kind                    `yaml:"kind" json:"kind"`
+	Name        identifier.Policy       `yaml:"name" json:"name"`
+	DataCentres []identifier.DataCentre `yaml:"dataCentres" json:"dataCentres"`
+	Order       Order                   `yaml:"order" json:"order"`
+}
+
+// Team owns services and pools and has a quota over all data centres.
+type Team struct {
+	Kind  Kind            `yaml:"kind" json:"kind"`
+	Name  identifier.Team `yaml:"name" json:"name"`
+	Quota identifier.Size `yaml:"quota" json:"quota"`
+}
+
+// Grace returns how long a task of the pool may go on while its data centre is
+// cut off from the log.
+func (o *BatchPool) Grace() time.Duration {
+	switch {
+	case o.CutOffGrace > 0:
+		return o.CutOffGrace.Std()
+	case o.Mode == ModeWatch:
+		return DefaultWatchGrace
+	default:
+		return DefaultRunGrace
+	}
+}
+
+// Key returns the identity of the service.
+func (o *Service) Key() Key { return Key{KindService, string(o.Name)} }
+
+// Key returns the identity of the pool.
+func (o *BatchPool) Key() Key { return Key{KindBatchPool, string(o.Name)} }
+
+// Key returns the identity of the data centre.
+func (o *DataCentre) Key() Key { return Key{KindDataCentre, string(o.Name)} }
+
+// Key returns the identity of the policy.
+func (o *PlacementPolicy) Key() Key { return Key{KindPolicy, string(o.Name)} }
+
+// Key returns the identity of the team.
+func (o *Team) Key() Key { return Key{KindTeam, string(o.Name)} }
+
+// New returns an empty object of a kind with its defaults, or nil.
+func New(kind Kind) Object {
+	switch kind {
+	case KindService:
+		return &Service{Kind: kind, Class: ClassCritical}
+	case KindBatchPool:
+		return &BatchPool{Kind: kind, Priority: PriorityNormal, Mode: ModeRun, MaxAttempts: DefaultMaxAttempts}
+	case KindDataCentre:
+		return &DataCentre{Kind: kind, State: InService, DrainRate: DefaultDrainRate}
+	case KindPolicy:
+		return &PlacementPolicy{Kind: kind, Order: OrderNearFirst}
+	case KindTeam:
+		return &Team{Kind: kind}
+	default:
+		return nil
+	}
+}
+
+const (
+	// DefaultMaxAttempts is how often a task is tried before it is parked.
+	DefaultMaxAttempts = 3
+	// DefaultDrainRate is how many tasks a drain stops each second.
+	DefaultDrainRate = 10
+	// DefaultWatchGrace is how long a watch goes on in a data centre that is cut
+	// off.
+	DefaultWatchGrace = 30 * time.Minute
+	// DefaultRunGrace is how long a run goes on in a data centre that is cut off.
+	DefaultRunGrace = time.Minute
+)
