--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -56,6 +56,7 @@
 	Request  requestCommand  `cmd:"" help:"Send a request for a service."`
 	Submit   submitCommand   `cmd:"" help:"Submit a batch task."`
 	Cancel   cancelCommand   `cmd:"" help:"Cancel batch tasks."`
+	Resume   resumeCommand   `cmd:"" help:"Execute a task again whose outcome nobody can tell."`
 	Status   statusCommand   `cmd:"" help:"Show an entry host, or a task."`
 	List     listCommand     `cmd:"" help:"List batch tasks."`
 	Explain  explainCommand  `cmd:"" help:"Say why a task waits."`
--- a/internal/commander/task.go
+++ b/internal/commander/task.go
@@ -91,6 +91,23 @@
 	return failed
 }
 
+type resumeCommand struct {
+	Task string `arg:"" help:"Task whose attempt has certainly not finished."`
+}
+
+// Run lets a task be executed again.
+func (c *resumeCommand) Run(s *session) error {
+	cl, err := s.client()
+	if err != nil {
+		return err
+	}
+	t, err := cl.Resume(s.ctx, identifier.Task(c.Task))
+	if err != nil {
+		return err
+	}
+	return s.print(t, func() { s.line("resumed: task %s %s", t.ID, t.State) })
+}
+
 type statusCommand struct {
 	Task string `arg:"" optional:"" help:"Task to show; without it, the entry host."`
 }
--- a/internal/coordinator/task.go
+++ b/internal/coordinator/task.go
@@ -59,6 +59,24 @@
 	}
 }
 
+// Resume lets a task be executed again although nobody can tell whether its
+// present attempt has finished, and returns its state.
+func (c *Coordinator) Resume(ctx context.Context, id identifier.Task) (tracker.Task, error) {
+	t, ok := c.Task(id)
+	if !ok {
+		return t, refuser.New(refuser.CodeNotFound, "there is no task %q", id)
+	}
+	v, err := c.decide(ctx, id, encoder.Resume{Task: id, Attempt: t.Attempt})
+	switch {
+	case err != nil:
+		return t, err
+	case !v.Applied:
+		return t, refuser.New(refuser.CodeConflict, "task %q is not claimed under attempt %d: %s", id, t.Attempt, v.Cause)
+	default:
+		return v.Task, nil
+	}
+}
+
 func (c *Coordinator) decide(ctx context.Context, id identifier.Task, body encoder.Body) (tracker.Verdict, error) {
 	verdict, err := c.home(id).appender.Do(ctx, encoder.NewRecord(body))
 	if err != nil {
--- a/internal/emulator/log.go
+++ b/internal/emulator/log.go
@@ -169,10 +169,15 @@
 	c.cut = cut
 }
 
-func (c *CutLog) check() error {
+// IsCut reports whether the log is cut off.
+func (c *CutLog) IsCut() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cut {
+	return c.cut
+}
+
+func (c *CutLog) check() error {
+	if c.IsCut() {
 		return errors.Mark(errors.New("log is cut off"), connector.ErrNotSent)
 	}
 	return nil
--- a/internal/emulator/witness.go
+++ b/internal/emulator/witness.go
@@ -8,8 +8,9 @@
 )
 
 // CheckRuns returns what the recorded steps of all workers show to be wrong: a
-// task that ran in two places at once, or that was done twice.
-func CheckRuns(events []Event) []string {
+// task that ran in two places at once, or that started again after it was done
+// although it is not repeatable.
+func CheckRuns(events []Event, repeatable func(identifier.Task) bool) []string {
 	byTask := map[identifier.Task][]Event{}
 	for _, e := range events {
 		byTask[e.Task] = append(byTask[e.Task], e)
@@ -17,7 +18,7 @@
 	var out []string
 	for task, list := range byTask {
 		sort.SliceStable(list, func(i, j int) bool { return list[i].before(list[j]) })
-		out = append(out, checkTask(task, list)...)
+		out = append(out, checkTask(task, list, repeatable(task))...)
 	}
 	sort.Strings(out)
 	return out
@@ -31,7 +32,7 @@
 	return e.Step != StepStart && o.Step == StepStart
 }
 
-func checkTask(task identifier.Task, list []Event) []string {
+func checkTask(task identifier.Task, list []Event, repeatable bool) []string {
 	var out []string
 	running := map[identifier.Worker]identifier.Attempt{}
 	done := 0
@@ -46,7 +47,7 @@
 		for w, attempt := range running {
 			out = append(out, fmt.Sprintf("task %s: attempt %d started on %s while attempt %d ran on %s", task, e.Attempt, e.Worker, attempt, w))
 		}
-		if done > 0 {
+		if done > 0 && !repeatable {
 			out = append(out, fmt.Sprintf("task %s: attempt %d started on %s after it was done", task, e.Attempt, e.Worker))
 		}
 		running[e.Worker] = e.Attempt
--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -95,6 +95,8 @@
 		return unmarshal[Cancel](it.Body)
 	case kindLease:
 		return unmarshal[Lease](it.Body)
+	case kindResume:
+		return unmarshal[Resume](it.Body)
 	case kindSnapshot:
 		return unmarshal[Snapshot](it.Body)
 	default:
--- a/internal/encoder/record.go
+++ b/internal/encoder/record.go
@@ -6,7 +6,7 @@
 )
 
 // Body is the content of a record: Publish, Submit, Claim, Release, End,
-// Cancel, Lease or Snapshot.
+// Cancel, Resume, Lease or Snapshot.
 type Body interface{ kind() kind }
 
 type kind uint8
@@ -20,6 +20,7 @@
 	kindCancel
 	kindLease
 	kindSnapshot
+	kindResume
 )
 
 // StoredObject is a configuration object in its encoded form.
@@ -48,8 +49,8 @@
 
 // Claim reserves a task for execution on a worker of a data centre. Epoch is
 // the claimant's cell epoch. GraceMs is how long the attempt may go on, in
-// milliseconds, while its data centre is cut off from the log; zero means
-// without limit.
+// milliseconds, while its data centre is cut off from the log. Repeatable says
+// that the task may be executed again when the outcome of the attempt is unknown.
 type Claim struct {
 	Task       identifier.Task       `cbor:"1,keyasint"`
 	Attempt    identifier.Attempt    `cbor:"2,keyasint"`
@@ -58,6 +59,7 @@
 	Epoch      identifier.Epoch      `cbor:"5,keyasint"`
 	Size       identifier.Size       `cbor:"6,keyasint"`
 	GraceMs    int64                 `cbor:"7,keyasint,omitempty"`
+	Repeatable bool                  `cbor:"8,keyasint,omitempty"`
 }
 
 // Reason says why a claimed task was released.
@@ -71,6 +73,7 @@
 	ReasonNoRoom     Reason = "noRoom"
 	ReasonCutOff     Reason = "cutOff"
 	ReasonCancelled  Reason = "cancelled"
+	ReasonResumed    Reason = "resumed"
 )
 
 // Release ends an attempt without ending the task: it waits again, from its
@@ -102,6 +105,13 @@
 	Detail  string             `cbor:"4,keyasint,omitempty"`
 }
 
+// Resume lets a task be executed again although the outcome of an attempt is
+// unknown.
+type Resume struct {
+	Task    identifier.Task    `cbor:"1,keyasint"`
+	Attempt identifier.Attempt `cbor:"2,keyasint"`
+}
+
 // Cancel asks for a task to be stopped for good.
 type Cancel struct {
 	Task identifier.Task `cbor:"1,keyasint"`
@@ -132,3 +142,4 @@
 func (Cancel) kind() kind   { return kindCancel }
 func (Lease) kind() kind    { return kindLease }
 func (Snapshot) kind() kind { return kindSnapshot }
+func (Resume) kind() kind   { return kindResume }
--- a/internal/scheduler/explainer.go
+++ b/internal/scheduler/explainer.go
@@ -34,6 +34,10 @@
 	switch {
 	case l.stopping != "":
 		return []string{fmt.Sprintf("stopping on worker %s: %s", t.Worker, l.stopping)}
+	case !t.Repeatable && l.seen && w.lease != "" && s.missing(w, t, l):
+		return []string{fmt.Sprintf("worker %s no longer knows attempt %d and its pool is not idempotent; find out whether it finished, then resume or cancel it", t.Worker, t.Attempt)}
+	case !t.Repeatable && w.silent > 0:
+		return []string{fmt.Sprintf("worker %s does not answer and the pool is not idempotent; it waits for the worker, or for an operator to resume or cancel it", t.Worker)}
 	case w.silent > 0:
 		return []string{fmt.Sprintf("worker %s does not answer; the task is started elsewhere once its lease has certainly run out", t.Worker)}
 	case l.seen:
@@ -43,6 +47,12 @@
 	}
 }
 
+// missing reports whether a worker that ran an attempt does not report it.
+func (*Scheduler) missing(w *worker, t tracker.Task, l *local) bool {
+	_, reported := w.reported[t.ID]
+	return !reported && w.reportSentAt.After(l.seenAt)
+}
+
 func (s *Scheduler) explainWaiting(t tracker.Task, pool *parser.BatchPool) []string {
 	var out []string
 	rank, allowed := s.preference(t, pool)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -59,6 +59,7 @@
 type local struct {
 	startSent  identifier.Lease
 	startBusy  bool
+	nextStart  time.Time
 	seen       bool
 	seenAt     time.Time
 	stopping   encoder.Reason
--- a/internal/scheduler/starter.go
+++ b/internal/scheduler/starter.go
@@ -62,6 +62,7 @@
 	s.emit(Append{t.ID, encoder.Claim{
 		Task: t.ID, Attempt: t.Attempt + 1, DataCentre: s.dc, Worker: worker,
 		Epoch: s.lease.Epoch, Size: pool.Size, GraceMs: pool.Grace().Milliseconds(),
+		Repeatable: pool.Repeatable(),
 	}})
 }
 
@@ -159,7 +160,7 @@
 		case reported && r.Attempt == t.Attempt:
 		case l.seen && !w.reportSentAt.After(l.seenAt):
 		case l.seen:
-			s.append(t, encoder.Release{Task: id, Attempt: t.Attempt, Reason: encoder.ReasonWorkerLost})
+			s.releaseUnknown(t, encoder.ReasonWorkerLost)
 		case s.overcommitted(w):
 			s.stopBecause(w, t, encoder.ReasonNoRoom)
 		case s.inService() && !t.Cancelled:
@@ -174,11 +175,16 @@
 	return !identifier.Size{}.Fits(w.room())
 }
 
+// startRetry is the shortest time between two starts of the same attempt.
+const startRetry = 250 * time.Millisecond
+
 func (s *Scheduler) start(w *worker, t tracker.Task, l *local) {
 	pool := s.set.Pools[t.Pool]
-	if pool == nil {
+	now := time.Now()
+	if pool == nil || now.Before(l.nextStart) {
 		return
 	}
+	l.nextStart = now.Add(startRetry)
 	l.startBusy = true
 	l.startSent = w.lease
 	s.emit(StartTask{w.host, connector.StartOrder{
--- a/internal/scheduler/stopper.go
+++ b/internal/scheduler/stopper.go
@@ -80,13 +80,23 @@
 	case reported:
 		s.stop(w, t.ID, t.Attempt)
 	case l.startSent == w.lease:
-		w.reopen = true
-		w.nextCall = time.Time{}
+		s.reopen(w)
+	case s.lease.Held && l.seen:
+		s.releaseUnknown(t, encoder.ReasonWorkerLost)
 	case s.lease.Held:
 		s.append(t, encoder.Release{Task: t.ID, Attempt: t.Attempt, Reason: reason})
 	}
 }
 
+// reopen replaces the lease on a worker, so that a start that is still on its
+// way under the old one is refused.
+func (s *Scheduler) reopen(w *worker) {
+	if !w.reopen {
+		w.reopen = true
+		w.nextCall = time.Time{}
+	}
+}
+
 // stop asks a worker to checkpoint and stop an attempt, again after a while.
 func (s *Scheduler) stop(w *worker, id identifier.Task, attempt identifier.Attempt) {
 	l := s.local(id)
@@ -117,7 +127,7 @@
 		}
 		grace := time.Duration(t.GraceMs) * time.Millisecond
 		if now.Sub(seen) > certainlyOver(grace) {
-			s.append(t, encoder.Release{Task: id, Attempt: t.Attempt, Reason: encoder.ReasonCutOff})
+			s.releaseUnknown(t, encoder.ReasonCutOff)
 		}
 	}
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -268,7 +268,16 @@
 	for id := range s.here {
 		t := s.tasks[id]
 		if s.lost(s.worker(t.Worker), t, now) {
-			s.append(t, encoder.Release{Task: id, Attempt: t.Attempt, Reason: encoder.ReasonWorkerLost})
+			s.releaseUnknown(t, encoder.ReasonWorkerLost)
 		}
 	}
 }
+
+// releaseUnknown releases a task of which nobody can tell whether its attempt
+// has finished, if it may be executed again. Others stay with their worker, for
+// its report or an operator to decide.
+func (s *Scheduler) releaseUnknown(t tracker.Task, reason encoder.Reason) {
+	if t.Repeatable {
+		s.append(t, encoder.Release{Task: t.ID, Attempt: t.Attempt, Reason: reason})
+	}
+}
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -37,6 +37,7 @@
 	s.admin.POST("/v1/tasks", s.whenReady(s.postTask))
 	s.admin.GET("/v1/tasks/:task", s.whenReady(s.getTask))
 	s.admin.POST("/v1/tasks/:task/cancel", s.whenReady(s.cancelTask))
+	s.admin.POST("/v1/tasks/:task/resume", s.whenReady(s.resumeTask))
 	s.admin.GET("/v1/tasks/:task/explain", s.whenReady(s.explainTask))
 	s.admin.GET("/v1/dataCentres/:dataCentre", s.whenReady(s.getProgress))
 }
@@ -149,6 +150,11 @@
 	return taskView(t), err
 }
 
+func (s *Server) resumeTask(ctx context.Context, c *app.RequestContext) (any, error) {
+	t, err := s.coord.Resume(ctx, identifier.Task(c.Param("task")))
+	return taskView(t), err
+}
+
 func (s *Server) getTask(_ context.Context, c *app.RequestContext) (any, error) {
 	id := identifier.Task(c.Param("task"))
 	t, ok := s.coord.Task(id)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -52,6 +52,7 @@
 	Evictions  int                   `cbor:"17,keyasint" json:"evictions"`
 	EndSeq     uint64                `cbor:"18,keyasint" json:"-"`
 	GraceMs    int64                 `cbor:"19,keyasint" json:"cutOffGraceMs,omitempty"`
+	Repeatable bool                  `cbor:"20,keyasint" json:"repeatable,omitempty"`
 }
 
 // FailedOn reports whether an attempt failed on the worker.
@@ -125,6 +126,8 @@
 		return t.release(rec)
 	case encoder.End:
 		return t.end(rec)
+	case encoder.Resume:
+		return t.release(encoder.Release{Task: rec.Task, Attempt: rec.Attempt, Reason: encoder.ReasonResumed})
 	default:
 		return Verdict{Cause: CauseUnknown}
 	}
@@ -181,6 +184,7 @@
 	task.Worker = rec.Worker
 	task.Size = rec.Size
 	task.GraceMs = rec.GraceMs
+	task.Repeatable = rec.Repeatable
 	return applied(task)
 }
 
@@ -198,7 +202,7 @@
 		task.Failures = append(task.Failures, Failure{task.Worker, rec.Detail})
 	case encoder.ReasonDrained, encoder.ReasonWorkerLost, encoder.ReasonCutOff:
 		task.Evictions++
-	case encoder.ReasonNoRoom, encoder.ReasonCancelled:
+	case encoder.ReasonNoRoom, encoder.ReasonCancelled, encoder.ReasonResumed:
 	}
 	task.State = StateWaiting
 	task.DataCentre, task.Worker = "", ""
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -97,6 +97,11 @@
 	return call[Task](ctx, c, consts.MethodPost, taskPath(id)+"/cancel", struct{}{})
 }
 
+// Resume lets a task be executed again whose outcome nobody can tell.
+func (c *Client) Resume(ctx context.Context, id identifier.Task) (Task, error) {
+	return call[Task](ctx, c, consts.MethodPost, taskPath(id)+"/resume", struct{}{})
+}
+
 // Explain says why a task is in its state.
 func (c *Client) Explain(ctx context.Context, id identifier.Task) (Explanation, error) {
 	return call[Explanation](ctx, c, consts.MethodGet, taskPath(id)+"/explain", nil)
--- a/pkg/parser/object.go
+++ b/pkg/parser/object.go
@@ -112,7 +112,9 @@
 	Deadline identifier.Duration `yaml:"deadline" json:"deadline"`
 }
 
-// BatchPool is a queue of tasks of one shape.
+// BatchPool is a queue of tasks of one shape. A task of an idempotent pool is
+// executed again when nobody can tell whether an attempt of it has finished;
+// others wait until their worker is back or an operator decides.
 type BatchPool struct {
 	Kind        Kind                `yaml:"kind" json:"kind"`
 	Name        identifier.Pool     `yaml:"name" json:"name"`
@@ -124,6 +126,7 @@
 	RunTime     identifier.Duration `yaml:"runTime,omitempty" json:"runTime,omitempty"`
 	MaxAttempts int                 `yaml:"maxAttempts" json:"maxAttempts"`
 	CutOffGrace identifier.Duration `yaml:"cutOffGrace,omitempty" json:"cutOffGrace,omitempty"`
+	Idempotent  bool                `yaml:"idempotent,omitempty" json:"idempotent,omitempty"`
 }
 
 // DataCentre is a group of workers, minions and entry hosts.
@@ -150,6 +153,10 @@
 	Quota identifier.Size `yaml:"quota" json:"quota"`
 }
 
+// Repeatable reports whether an attempt whose outcome is unknown may be repeated.
+// A watch has no outcome.
+func (o *BatchPool) Repeatable() bool { return o.Idempotent || o.Mode == ModeWatch }
+
 // Grace returns how long a task of the pool may go on while its data centre is
 // cut off from the log.
 func (o *BatchPool) Grace() time.Duration {
