--- a/internal/deduper/deduper.go
+++ b/internal/deduper/deduper.go
@@ -60,6 +60,21 @@
 	delete(s.seen, id)
 }
 
+// Known returns all remembered identities.
+func (d *Deduper) Known() []identifier.Request {
+	var out []identifier.Request
+	for i := range d.shards {
+		s := &d.shards[i]
+		s.mu.Lock()
+		s.expire(time.Now())
+		for id := range s.seen {
+			out = append(out, id)
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
 func (d *Deduper) shard(id identifier.Request) *shard {
 	return &d.shards[identifier.Rank("dedupe", string(id))%shardCount]
 }
--- a/internal/dialer/minion.go
+++ b/internal/dialer/minion.go
@@ -113,12 +113,15 @@
 	in := protocol.AcquireResponse()
 	defer protocol.ReleaseResponse(in)
 	_ = c.conn.SetReadTimeout(timeLeft(ctx))
-	if err := resp.ReadHeaderAndLimitBody(in, c.conn, MaxBodyBytes); err != nil {
-		err = errors.Wrapf(err, "answer of minion %s", c.address)
-		return connector.MinionAnswer{}, errors.Mark(errors.Mark(err, ErrShortAnswer), connector.ErrUnknown)
+	err := resp.ReadHeaders(in, c.conn)
+	if err == nil {
+		err = check(in, r)
 	}
-	if err := c.check(in, r); err != nil {
-		return connector.MinionAnswer{}, errors.Mark(err, connector.ErrUnknown)
+	if err == nil {
+		err = resp.ReadRespBody(in, c.conn, MaxBodyBytes)
+	}
+	if err != nil {
+		return connector.MinionAnswer{}, c.broken(err)
 	}
 	answer := connector.MinionAnswer{
 		Status:  in.StatusCode(),
@@ -131,9 +134,19 @@
 	return answer, nil
 }
 
+// broken returns the error of an answer that is not the whole answer to the
+// request.
+func (c *minionConn) broken(err error) error {
+	err = errors.Mark(errors.Wrapf(err, "answer of minion %s", c.address), connector.ErrUnknown)
+	if errors.Is(err, ErrOtherAnswer) {
+		return err
+	}
+	return errors.Mark(err, ErrShortAnswer)
+}
+
 // check refuses an answer whose length is not stated or that names another
 // request.
-func (c *minionConn) check(in *protocol.Response, r connector.MinionRequest) error {
+func check(in *protocol.Response, r connector.MinionRequest) error {
 	if in.Header.ContentLength() < -1 {
 		return errors.Mark(errors.New("answer without a length"), ErrShortAnswer)
 	}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -28,8 +28,8 @@
 	MethodRegister   Method = "register"
 	MethodDeregister Method = "deregister"
 	MethodState      Method = "state"
+	MethodMemory     Method = "memory"
 	MethodExplain    Method = "explain"
-	MethodProgress   Method = "progress"
 )
 
 const (
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,6 +4,7 @@
 package router
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -249,13 +250,12 @@
 	if c, ok := s.takeOwned(r.strategy, tried); ok {
 		return c
 	}
-	if localOnly {
-		return s.busyOrNone(tried)
-	}
-	if c, ok := r.forward(s, obj, tried); ok {
-		return c
+	if !localOnly {
+		if c, ok := r.forward(s, obj, tried); ok {
+			return c
+		}
 	}
-	return s.busyOrNone(tried)
+	return r.waitOrNone(service, tried)
 }
 
 // takeOwned takes a slot on an owned minion. Ejected minions are used only when
@@ -304,11 +304,15 @@
 	return healthy
 }
 
-func (s *shard) busyOrNone(tried *Tried) Choice {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.usable(tried)) > 0 {
-		return Wait{}
+// waitOrNone tells a service that is busy, or whose minions are just passing
+// from one owner to another, from one that no minion answers for.
+func (r *Router) waitOrNone(service identifier.Service, tried *Tried) Choice {
+	now := time.Now()
+	for id, m := range r.minions {
+		host, _ := m.snapshot()
+		if !tried.Minions[id] && !m.leaving(now) && slices.Contains(host.Services, service) {
+			return Wait{}
+		}
 	}
 	return None{"no minion takes requests now"}
 }
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,163 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/pkg/checker"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/parser"
+)
+
+func testSet() *checker.Set {
+	return checker.NewSet(
+		&parser.Service{Name: "desk", Policy: "p"},
+		&parser.PlacementPolicy{Name: "p", DataCentres: []identifier.DataCentre{"a", "b", "c"}},
+		&parser.DataCentre{Name: "a", State: parser.InService},
+		&parser.DataCentre{Name: "b", State: parser.Drained},
+		&parser.DataCentre{Name: "c", State: parser.InService},
+	)
+}
+
+func testHosts(n int) []connector.MinionHost {
+	var out []connector.MinionHost
+	for i := range n {
+		out = append(out, connector.MinionHost{
+			ID: identifier.Minion(fmt.Sprint("m", i)), DataCentre: "a", Services: []identifier.Service{"desk"},
+			Slots: 8, Connections: 64, State: connector.HostLive,
+		})
+	}
+	return out
+}
+
+func newTestRouter(self identifier.Entry, minions int) *Router {
+	r := New(self, "a")
+	r.SetConfig(testSet())
+	r.SetHosts(testHosts(minions))
+	return r
+}
+
+func TestEveryMinionHasOneOwner(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var members []identifier.Entry
+		for i := range rapid.IntRange(1, 8).Draw(rt, "members") {
+			members = append(members, identifier.Entry(fmt.Sprint("e", i)))
+		}
+		minions := rapid.IntRange(1, 65).Draw(rt, "minions")
+		owners := map[identifier.Minion]int{}
+		for _, self := range members {
+			r := newTestRouter(self, minions)
+			r.SetMembers(members, nil)
+			for {
+				c, ok := r.Choose("desk", NewTried(), true).(Local)
+				if !ok {
+					break
+				}
+				owners[c.Host.ID]++
+			}
+		}
+		for i := range minions {
+			if n := owners[identifier.Minion(fmt.Sprint("m", i))]; n != 8 {
+				rt.Fatalf("minion m%d got %d requests at a time from all hosts, want 8", i, n)
+			}
+		}
+	})
+}
+
+func TestChoices(t *testing.T) {
+	peer := func(e identifier.Entry, dc identifier.DataCentre, free int) Peer {
+		return Peer{Entry: e, DataCentre: dc, Free: map[identifier.Service]int{"desk": free}}
+	}
+	tests := map[string]struct {
+		minions int
+		members []identifier.Entry
+		peers   []Peer
+		service identifier.Service
+		want    string
+	}{
+		"own minion":                     {minions: 1, members: []identifier.Entry{"e1"}, want: "local"},
+		"owner in the same data centre":  {members: []identifier.Entry{"e2"}, minions: 1, peers: []Peer{peer("e2", "a", 2), peer("e3", "c", 9)}, want: "e2"},
+		"other data centre when full":    {members: []identifier.Entry{"e2"}, minions: 1, peers: []Peer{peer("e2", "a", 0), peer("e3", "c", 9)}, want: "e3"},
+		"never a drained data centre":    {members: []identifier.Entry{"e2"}, minions: 1, peers: []Peer{peer("e3", "b", 9)}, want: "wait"},
+		"minions passing between owners": {members: []identifier.Entry{"e2"}, minions: 1, want: "wait"},
+		"no minion":                      {members: []identifier.Entry{"e1"}, want: "none"},
+		"no service":                     {members: []identifier.Entry{"e1"}, minions: 1, service: "other", want: "none"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRouter("e1", tc.minions)
+			r.SetMembers(tc.members, tc.peers)
+			service := identifier.Service("desk")
+			if tc.service != "" {
+				service = tc.service
+			}
+			if got := describe(r.Choose(service, NewTried(), false)); got != tc.want {
+				t.Errorf("chose %s, want %s", got, tc.want)
+			}
+		})
+	}
+}
+
+func describe(c Choice) string {
+	switch c := c.(type) {
+	case Local:
+		return "local"
+	case Forward:
+		return string(c.Entry)
+	case Wait:
+		return "wait"
+	default:
+		return "none"
+	}
+}
+
+func TestEjectionLeavesHalfInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRouter("e1", 10)
+		for range 200 {
+			c, ok := r.Choose("desk", NewTried(), true).(Local)
+			if !ok {
+				t.Fatal("no minion left to choose")
+			}
+			c.Done(ResultFailed)
+		}
+		used := map[identifier.Minion]bool{}
+		for range 400 {
+			c, _ := r.Choose("desk", NewTried(), true).(Local)
+			used[c.Host.ID] = true
+			c.Done(ResultAnswered)
+		}
+		if len(used) < 5 {
+			t.Errorf("%d of 10 minions in use, want at least half", len(used))
+		}
+		time.Sleep(longestEjection)
+		for range 400 {
+			c, _ := r.Choose("desk", NewTried(), true).(Local)
+			used[c.Host.ID] = true
+			c.Done(ResultAnswered)
+		}
+		if len(used) != 10 {
+			t.Errorf("%d of 10 minions in use after they recovered", len(used))
+		}
+	})
+}
+
+func TestForeignRequestsCountAgainstSlots(t *testing.T) {
+	r := newTestRouter("e1", 1)
+	r.SetMembers([]identifier.Entry{"e1"}, []Peer{{Entry: "e2", DataCentre: "a", InFlight: map[identifier.Minion]int{"m0": 6}}})
+	taken := 0
+	for {
+		if _, ok := r.Choose("desk", NewTried(), true).(Local); !ok {
+			break
+		}
+		taken++
+	}
+	if taken != 2 {
+		t.Errorf("took %d slots beside 6 foreign requests, want 2", taken)
+	}
+}
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"sort"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,19 +16,14 @@
 	"github.com/balsamcove/balsamcove/internal/messenger"
 	"github.com/balsamcove/balsamcove/internal/router"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
-	"github.com/balsamcove/balsamcove/pkg/parser"
 	"github.com/balsamcove/balsamcove/pkg/refuser"
 )
 
 const (
 	// remoteEvery is how many heartbeats within the data centre go by between
 	// two to other data centres.
-	remoteEvery = 4
-	// registerCopies is how many entry hosts remember the identity of a
-	// non-idempotent request.
-	registerCopies  = 3
-	registerTimeout = time.Second
-	stateTimeout    = 2 * time.Second
+	remoteEvery  = 4
+	stateTimeout = 2 * time.Second
 )
 
 // handlePeer answers a call of another entry host.
@@ -46,6 +40,8 @@
 			s.deduper.Deregister(id)
 			return true, nil
 		})
+	case messenger.MethodMemory:
+		return s.deduper.Known(), nil
 	case messenger.MethodState:
 		return s.passState()
 	case messenger.MethodExplain:
@@ -177,96 +173,3 @@
 	}
 	return s.coord.States()
 }
-
-// register remembers the identity of a non-idempotent request at its home, the
-// entry hosts of a data centre that its hash chooses. The error is a refusal.
-func (s *Server) register(ctx context.Context, id identifier.Request) ([]string, error) {
-	homes, err := s.homesOf(id)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
-	defer cancel()
-	for i, address := range homes {
-		fresh, err := s.registerAt(ctx, address, id)
-		if err != nil {
-			s.deregister(homes[:i+1], id)
-			return nil, refuser.New(refuser.CodeUnavailable, "the home of request %q cannot be reached", id)
-		}
-		if !fresh {
-			r := refuser.NewUnknown(refuser.CodeDuplicate, "request %q was sent before", id)
-			r.ID = string(id)
-			return nil, r
-		}
-	}
-	return homes, nil
-}
-
-func (s *Server) registerAt(ctx context.Context, address string, id identifier.Request) (bool, error) {
-	if address == s.cfg.Listen.Peers {
-		return s.deduper.Register(id), nil
-	}
-	var fresh bool
-	err := s.client.Call(ctx, address, messenger.MethodRegister, id, &fresh)
-	return fresh, err
-}
-
-// deregister forgets a request that was certainly not executed.
-func (s *Server) deregister(homes []string, id identifier.Request) {
-	ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
-	defer cancel()
-	for _, address := range homes {
-		if address == s.cfg.Listen.Peers {
-			s.deduper.Deregister(id)
-			continue
-		}
-		var done bool
-		if err := s.client.Call(ctx, address, messenger.MethodDeregister, id, &done); err != nil {
-			s.logger.Debug("request stays registered", zap.String("request", string(id)), zap.Error(err))
-		}
-	}
-}
-
-// homesOf returns the addresses of the entry hosts that remember a request.
-func (s *Server) homesOf(id identifier.Request) ([]string, error) {
-	home := s.homeOf(id)
-	type candidate struct {
-		rank    uint64
-		address string
-	}
-	var list []candidate
-	add := func(entry identifier.Entry, address string) {
-		list = append(list, candidate{identifier.Rank(string(id), string(entry)), address})
-	}
-	if home == s.cfg.DataCentre {
-		add(s.cfg.Name, s.cfg.Listen.Peers)
-	}
-	for _, r := range s.table.Alive() {
-		if r.DataCentre == home {
-			add(r.Entry, r.Address)
-		}
-	}
-	if len(list) == 0 {
-		return nil, refuser.New(refuser.CodeUnavailable, "the home of request %q, data centre %q, cannot be reached", id, home)
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].rank > list[j].rank })
-	var out []string
-	for _, c := range list[:min(len(list), registerCopies)] {
-		out = append(out, c.address)
-	}
-	return out, nil
-}
-
-// homeOf returns the data centre that remembers a request.
-func (s *Server) homeOf(id identifier.Request) identifier.DataCentre {
-	best, rank := s.cfg.DataCentre, uint64(0)
-	for name, dc := range s.coord.Set().DataCentres {
-		if dc.State != parser.InService {
-			continue
-		}
-		if v := identifier.Rank(string(id), string(name)); v > rank {
-			best, rank = name, v
-		}
-	}
-	return best
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -198,6 +198,7 @@
 	group.Go(func() error { return s.peers.Run(work) })
 	group.Go(func() error { return s.beat(work) })
 	group.Go(func() error { return s.sweep(work) })
+	group.Go(func() error { return s.pullMemory(work) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
