--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -125,6 +125,20 @@
 	})
 }
 
+// TestUnknownStaysUnknown lets a send be lost after it took effect and later
+// ones fail harmlessly.
+func TestUnknownStaysUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, f := newWorld(t, 6, []fate{fateLostAfter, fateNotSent, fateBusy, fateNotSent})
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		_, err := f.Do(ctx, Request{ID: "r", Service: "desk", Idempotent: true}, false)
+		if err == nil || refuser.From(err).Effect != refuser.Unknown || w.ran != 1 {
+			t.Errorf("error %v after %d executions, want one of unknown effect after 1", err, w.ran)
+		}
+	})
+}
+
 // TestRetriesStayWithinBudget fails every exchange and counts sends.
 func TestRetriesStayWithinBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/internal/publisher/publisher_test.go
@@ -0,0 +1,40 @@
+package publisher
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/balsamcove/balsamcove/internal/encoder"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/parser"
+)
+
+func TestVersionsFollowTheLog(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var p Publisher
+		verdicts := map[identifier.Publication]identifier.ConfigVersion{}
+		for range rapid.IntRange(1, 50).Draw(rt, "records") {
+			id := identifier.Publication(rapid.StringMatching("[a-f]").Draw(rt, "id"))
+			base := identifier.ConfigVersion(rapid.IntRange(0, 6).Draw(rt, "base"))
+			before := p.Version()
+			key := parser.Key{Kind: parser.KindTeam, Name: string(id)}
+			verdict := p.Apply(encoder.Publish{Publication: id, Base: base, Upserts: []encoder.StoredObject{{Key: key}}})
+			first, again := verdicts[id]
+			switch v := verdict.(type) {
+			case Accepted:
+				if again && (v.Change.Version != first || p.Version() != before) {
+					rt.Fatalf("publication %s accepted as %d and again as %d", id, first, v.Change.Version)
+				}
+				if !again && (base != before || p.Version() != before+1) {
+					rt.Fatalf("publication on %d accepted while %d was in force", base, before)
+				}
+				verdicts[id] = v.Change.Version
+			case Conflict:
+				if again || base == before || p.Version() != before {
+					rt.Fatalf("publication %s on %d refused while %d was in force (accepted before: %t)", id, base, before, again)
+				}
+			}
+		}
+	})
+}
