--- /dev/null
+++ b/internal/commander/commander_test.go
@@ -0,0 +1,63 @@
+package commander
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestCommands runs command lines on files. The directives are:
+//
+//	file name=NAME   writes the input to a file
+//	run ARGS...      runs a command line and prints its output and exit code
+func TestCommands(t *testing.T) {
+	dir, err := filepath.Abs("testdata")
+	if err != nil {
+		t.Fatal(err)
+	}
+	datadriven.Walk(t, dir, func(t *testing.T, path string) {
+		t.Chdir(t.TempDir())
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "file":
+				var name string
+				d.ScanArgs(t, "name", &name)
+				if err := os.WriteFile(name, []byte(d.Input+"\n"), 0o600); err != nil {
+					t.Fatal(err)
+				}
+				return ""
+			case "run":
+				return runLine(strings.Fields(d.Input))
+			default:
+				return "unknown directive " + d.Cmd
+			}
+		})
+	})
+}
+
+func runLine(args []string) string {
+	var stdout, stderr bytes.Buffer
+	code := Run(args, &stdout, &stderr)
+	return fmt.Sprintf("%s%sexit %d\n", stdout.String(), stderr.String(), code)
+}
+
+func TestExamplesCheckClean(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*.yaml")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no examples: %v", err)
+	}
+	for _, f := range files {
+		command := "check"
+		if strings.HasPrefix(filepath.Base(f), "entry") {
+			command = "settings"
+		}
+		if out := runLine([]string{command, f}); !strings.HasSuffix(out, "exit 0\n") {
+			t.Errorf("%s: %s", f, out)
+		}
+	}
+}
--- a/internal/commander/config.go
+++ b/internal/commander/config.go
@@ -30,7 +30,7 @@
 }
 
 type checkCommand struct {
-	Files []string `arg:"" help:"Configuration files; together they are the whole set." type:"existingfile"`
+	Files []string `arg:"" help:"Configuration files; together they are the whole set."`
 }
 
 // Run checks the files as one whole set.
@@ -40,8 +40,7 @@
 		return err
 	}
 	parsed := parser.Parse(sources)
-	problems := parsed.Problems
-	problems = append(problems, checker.Check(checker.NewSet(parsed.Objects...), parsed.Position)...)
+	problems := checker.Check(checker.NewSet(parsed.Objects...), parsed)
 	if len(problems) > 0 {
 		return &parser.InvalidError{Problems: problems}
 	}
@@ -52,7 +51,7 @@
 }
 
 type publishCommand struct {
-	Files  []string `arg:"" optional:"" help:"Configuration files; objects that they do not name stay." type:"existingfile"`
+	Files  []string `arg:"" optional:"" help:"Configuration files; objects that they do not name stay."`
 	Delete []string `help:"Objects to delete, such as service/hire-desk." placeholder:"KIND/NAME"`
 	Base   *uint64  `help:"Version that is changed; without it, whatever is in force." placeholder:"VERSION"`
 	ID     string   `help:"Identity of the publication, to send it again." placeholder:"ID"`
@@ -145,7 +144,7 @@
 }
 
 type diffCommand struct {
-	Files []string `arg:"" help:"Configuration files." type:"existingfile"`
+	Files []string `arg:"" help:"Configuration files."`
 }
 
 // Run shows what publishing the files would change.
--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -15,7 +15,7 @@
 )
 
 type entryCommand struct {
-	Settings string `required:"" help:"Settings file." type:"existingfile"`
+	Settings string `required:"" help:"Settings file."`
 }
 
 // Run runs an entry host until a signal stops it. A second signal ends it at
@@ -50,7 +50,7 @@
 }
 
 type settingsCommand struct {
-	File string `arg:"" help:"Settings file." type:"existingfile"`
+	File string `arg:"" help:"Settings file."`
 }
 
 // Run checks a settings file.
--- a/internal/coordinator/publish.go
+++ b/internal/coordinator/publish.go
@@ -102,7 +102,7 @@
 
 func buildPublish(p Publication, set *checker.Set) (encoder.Publish, error) {
 	parsed := parser.Parse(p.Sources)
-	problems := parsed.Problems
+	var problems []parser.Problem
 	rec := encoder.Publish{
 		Publication: p.ID, Base: p.Base, Author: p.Author,
 		AtUnixMs: time.Now().UnixMilli(), Deletes: p.Deletes,
@@ -120,7 +120,7 @@
 		}
 		rec.Upserts = append(rec.Upserts, stored)
 	}
-	problems = append(problems, checker.Check(set, parsed.Position)...)
+	problems = append(problems, checker.Check(set, parsed)...)
 	if len(rec.Upserts)+len(rec.Deletes) == 0 && len(problems) == 0 {
 		problems = append(problems, parser.Problem{Wrong: "nothing to publish", Want: "at least one object"})
 	}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -141,23 +141,23 @@
 // Parse reads settings from the text of a file.
 func Parse(file string, data []byte) (Settings, error) {
 	s := Default()
-	if err := parser.Decode(file, data, &s); err != nil {
-		return Settings{}, err
-	}
-	if problems := s.check(file); len(problems) > 0 {
-		return Settings{}, &parser.InvalidError{Problems: problems}
+	fields, problems := parser.Decode(file, data, &s)
+	c := &settingsCheck{fields: fields, problems: problems}
+	c.check(&s)
+	parser.Sort(c.problems)
+	if len(c.problems) > 0 {
+		return Settings{}, &parser.InvalidError{Problems: c.problems}
 	}
 	return s, nil
 }
 
 // settingsCheck collects the problems of settings.
 type settingsCheck struct {
-	file     string
+	fields   *parser.Fields
 	problems []parser.Problem
 }
 
-func (s *Settings) check(file string) []parser.Problem {
-	c := &settingsCheck{file: file}
+func (c *settingsCheck) check(s *Settings) {
 	c.require(s.Name != "", "name", "missing", "the name of this entry host")
 	c.require(s.DataCentre != "", "dataCentre", "missing", "the name of a data centre")
 	c.address("listen.callers", s.Listen.Callers)
@@ -171,22 +171,30 @@
 	c.require(s.HomeShards > 0 && s.HomeShards <= maxHomeShards, "homeShards", "out of range", "1 to 64")
 	c.require(s.Limits.Requests > 0, "limits.requests", "zero", "a whole number above zero")
 	c.durations(s)
-	return c.problems
 }
 
 // maxHomeShards is the largest number of home shards.
 const maxHomeShards = 64
 
 func (c *settingsCheck) durations(s *Settings) {
-	positive := map[string]identifier.Duration{
-		"leases.cellTTL": s.Leases.CellTTL, "leases.cellRenew": s.Leases.CellRenew,
-		"leases.workerTTL": s.Leases.WorkerTTL, "leases.workerRenew": s.Leases.WorkerRenew,
-		"polls.log": s.Polls.Log, "polls.hostList": s.Polls.HostList, "polls.freshness": s.Polls.Freshness,
-		"members.interval": s.Members.Interval, "members.dead": s.Members.Dead,
-		"snapshots.age": s.Snapshots.Age, "stop.limit": s.Stop.Limit,
+	positive := []struct {
+		field string
+		value identifier.Duration
+	}{
+		{"leases.cellTTL", s.Leases.CellTTL},
+		{"leases.cellRenew", s.Leases.CellRenew},
+		{"leases.workerTTL", s.Leases.WorkerTTL},
+		{"leases.workerRenew", s.Leases.WorkerRenew},
+		{"polls.log", s.Polls.Log},
+		{"polls.hostList", s.Polls.HostList},
+		{"polls.freshness", s.Polls.Freshness},
+		{"members.interval", s.Members.Interval},
+		{"members.dead", s.Members.Dead},
+		{"snapshots.age", s.Snapshots.Age},
+		{"stop.limit", s.Stop.Limit},
 	}
-	for field, d := range positive {
-		c.require(d > 0, field, "zero", "a duration above zero")
+	for _, d := range positive {
+		c.require(d.value > 0, d.field, "zero", "a duration above zero")
 	}
 	c.require(s.Leases.CellRenew*2 <= s.Leases.CellTTL, "leases.cellRenew", "too long", "at most half of leases.cellTTL")
 	c.require(s.Leases.WorkerRenew*2 <= s.Leases.WorkerTTL, "leases.workerRenew", "too long", "at most half of leases.workerTTL")
@@ -207,10 +215,7 @@
 }
 
 func (c *settingsCheck) require(ok bool, field, wrong, want string) {
-	if !ok {
-		c.problems = append(c.problems, parser.Problem{
-			Position: parser.Position{File: c.file, Line: 1, Column: 1},
-			Field:    field, Wrong: wrong, Want: want,
-		})
+	if !ok && !c.fields.Faulty("") && !c.fields.Faulty(field) {
+		c.problems = append(c.problems, parser.Problem{Position: c.fields.Position(field), Field: field, Wrong: wrong, Want: want})
 	}
 }
--- a/pkg/checker/checker.go
+++ b/pkg/checker/checker.go
@@ -98,25 +98,21 @@
 	return out
 }
 
-// Locate returns where a field of an object was written.
-type Locate func(k parser.Key, field string) parser.Position
-
 // check collects the problems of one set.
 type check struct {
 	set      *Set
-	locate   Locate
+	parsed   *parser.Parsed
 	problems []parser.Problem
 }
 
-// Check returns every problem of a set; locate may be nil.
-func Check(set *Set, locate Locate) []parser.Problem {
-	if locate == nil {
-		locate = func(parser.Key, string) parser.Position { return parser.Position{} }
-	}
-	c := &check{set: set, locate: locate}
+// Check returns every problem of the files that were parsed and of the whole
+// set that their objects make up, perhaps with others.
+func Check(set *Set, parsed *parser.Parsed) []parser.Problem {
+	c := &check{set: set, parsed: parsed, problems: parsed.Problems}
 	for _, obj := range set.Objects() {
 		c.object(obj)
 	}
+	parser.Sort(c.problems)
 	return c.problems
 }
 
@@ -218,10 +214,12 @@
 }
 
 func (c *check) fail(k parser.Key, field, wrong, want string) {
-	c.problems = append(c.problems, parser.Problem{
-		Position: c.locate(k, field),
-		Field:    k.String() + " " + field,
-		Wrong:    wrong,
-		Want:     want,
-	})
+	p := parser.Problem{Field: k.String() + " " + field, Wrong: wrong, Want: want}
+	if fields := c.parsed.Fields(k); fields != nil {
+		if fields.Faulty(field) {
+			return
+		}
+		p.Position = fields.Position(field)
+	}
+	c.problems = append(c.problems, p)
 }
--- a/pkg/parser/decoder.go
+++ b/pkg/parser/decoder.go
@@ -21,11 +21,51 @@
 	Values() []string
 }
 
-// decoder fills a Go value from a YAML tree and keeps every problem it meets.
-type decoder struct {
+// Fields says where the fields of a decoded value stand, by dotted path, and
+// which of them could not be read.
+type Fields struct {
 	file      string
-	problems  []Problem
 	positions map[string]Position
+	faulty    map[string]bool
+}
+
+// Position returns where a field stands, or else the nearest one around it.
+func (f *Fields) Position(path string) Position {
+	for {
+		if pos, ok := f.positions[path]; ok {
+			return pos
+		}
+		i := strings.LastIndexByte(path, '.')
+		if i < 0 {
+			break
+		}
+		path = path[:i]
+	}
+	if pos, ok := f.positions[""]; ok {
+		return pos
+	}
+	return Position{File: f.file, Line: 1, Column: 1}
+}
+
+// Faulty reports whether a field, or one inside it, could not be read. What a
+// later check says about it would only repeat that.
+func (f *Fields) Faulty(path string) bool {
+	for p := range f.faulty {
+		if p == path || strings.HasPrefix(p, path+".") || strings.HasPrefix(path, p+".") {
+			return true
+		}
+	}
+	return false
+}
+
+// decoder fills a Go value from a YAML tree and keeps every problem it meets.
+type decoder struct {
+	Fields
+	problems []Problem
+}
+
+func newDecoder(file string) *decoder {
+	return &decoder{Fields: Fields{file: file, positions: map[string]Position{}, faulty: map[string]bool{}}}
 }
 
 // decode fills v from node; path is the dotted path of the field so far.
@@ -67,9 +107,9 @@
 		field, known := fields[key]
 		switch {
 		case !known:
-			d.fail(pair.Key, path, fmt.Sprintf("unknown key %q", key), suggestion(key, fields))
+			d.unknownKey(pair.Key, path, fields)
 		case seen[key]:
-			d.fail(pair.Key, path, fmt.Sprintf("key %q stands twice", key), "one value")
+			d.fail(pair.Key, join(path, key), fmt.Sprintf("key %q stands twice", key), "one value")
 		default:
 			seen[key] = true
 			d.decode(pair.Value, field, join(path, key))
@@ -77,6 +117,21 @@
 	}
 }
 
+// unknownKey reports a key that no field has. The field that was probably meant
+// counts as faulty.
+func (d *decoder) unknownKey(key ast.MapKeyNode, path string, fields map[string]reflect.Value) {
+	name := key.String()
+	want := closest(name, fields)
+	d.problems = append(d.problems, Problem{Position: d.position(key), Field: path, Wrong: fmt.Sprintf("unknown key %q", name)})
+	last := &d.problems[len(d.problems)-1]
+	if want == "" {
+		last.Want = "one of " + strings.Join(sortedNames(fields), ", ")
+		return
+	}
+	last.Want = want
+	d.faulty[join(path, want)] = true
+}
+
 func (d *decoder) pairs(node ast.Node, path string) []*ast.MappingValueNode {
 	switch n := node.(type) {
 	case *ast.MappingNode:
@@ -137,6 +192,7 @@
 }
 
 func (d *decoder) fail(node ast.Node, path, wrong, want string) {
+	d.faulty[path] = true
 	d.problems = append(d.problems, Problem{Position: d.position(node), Field: path, Wrong: wrong, Want: want})
 }
 
@@ -186,23 +242,24 @@
 	return "this value"
 }
 
-// suggestion names the field closest to key, or lists all of them.
-func suggestion(key string, fields map[string]reflect.Value) string {
+func sortedNames(fields map[string]reflect.Value) []string {
 	names := make([]string, 0, len(fields))
 	for name := range fields {
 		names = append(names, name)
 	}
 	sort.Strings(names)
+	return names
+}
+
+// closest names the field that is at most two edits from key, if any.
+func closest(key string, fields map[string]reflect.Value) string {
 	best, distance := "", 3
-	for _, name := range names {
+	for _, name := range sortedNames(fields) {
 		if d := editDistance(key, name); d < distance {
 			best, distance = name, d
 		}
 	}
-	if best != "" {
-		return best
-	}
-	return "one of " + strings.Join(names, ", ")
+	return best
 }
 
 func editDistance(a, b string) int {
--- a/pkg/parser/file.go
+++ b/pkg/parser/file.go
@@ -16,22 +16,18 @@
 
 // Parsed is what a group of files holds.
 type Parsed struct {
-	Objects   []Object
-	positions map[string]Position
-	Problems  []Problem
+	Objects  []Object
+	Problems []Problem
+	fields   map[Key]*Fields
 }
 
-// Position returns where a field of an object stands, or where the object does.
-func (p *Parsed) Position(k Key, field string) Position {
-	if pos, ok := p.positions[k.String()+"#"+field]; ok {
-		return pos
-	}
-	return p.positions[k.String()+"#"]
-}
+// Fields returns where the fields of an object stand, or nil for an object that
+// the files do not hold.
+func (p *Parsed) Fields(k Key) *Fields { return p.fields[k] }
 
 // Parse reads all objects of all sources and collects every problem.
 func Parse(sources []Source) *Parsed {
-	out := &Parsed{positions: map[string]Position{}}
+	out := &Parsed{fields: map[Key]*Fields{}}
 	for _, src := range sources {
 		docs, problems := documents(src.File, []byte(src.Text))
 		out.Problems = append(out.Problems, problems...)
@@ -43,21 +39,19 @@
 }
 
 func (p *Parsed) add(file string, doc ast.Node) {
-	d := &decoder{file: file, positions: map[string]Position{}}
+	d := newDecoder(file)
 	obj := d.object(doc)
 	p.Problems = append(p.Problems, d.problems...)
 	if obj == nil {
 		return
 	}
-	id := obj.Key().String()
-	if first, twice := p.positions[id+"#"]; twice {
-		wrong := fmt.Sprintf("%s is declared twice, first at %s:%d", id, first.File, first.Line)
-		p.Problems = append(p.Problems, Problem{Position: d.positions["name"], Field: "name", Wrong: wrong, Want: "another name"})
+	if first, twice := p.fields[obj.Key()]; twice {
+		at := first.Position("")
+		wrong := fmt.Sprintf("%s is declared twice, first at %s:%d", obj.Key(), at.File, at.Line)
+		p.Problems = append(p.Problems, Problem{Position: d.Position("name"), Field: "name", Wrong: wrong, Want: "another name"})
 		return
 	}
-	for field, pos := range d.positions {
-		p.positions[id+"#"+field] = pos
-	}
+	p.fields[obj.Key()] = &d.Fields
 	p.Objects = append(p.Objects, obj)
 }
 
--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -3,8 +3,10 @@
 package parser
 
 import (
+	"cmp"
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -47,6 +49,20 @@
 	return b.String()
 }
 
+// Sort orders problems by where they stand; those without a place come last.
+func Sort(problems []Problem) {
+	slices.SortStableFunc(problems, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(placed(a), placed(b)), cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+}
+
+func placed(p Problem) int {
+	if p.Line > 0 {
+		return 0
+	}
+	return 1
+}
+
 // InvalidError reports the problems that make an input unusable.
 type InvalidError struct{ Problems []Problem }
 
@@ -59,22 +75,21 @@
 	return strings.Join(lines, "\n")
 }
 
-// Decode fills out, a pointer to a struct, from a file of one document.
-func Decode(file string, data []byte, out any) error {
+// Decode fills out, a pointer to a struct, from a file of one document, and
+// returns where its fields stand and every problem.
+func Decode(file string, data []byte, out any) (*Fields, []Problem) {
+	d := newDecoder(file)
 	docs, problems := documents(file, data)
-	if len(problems) > 0 {
-		return &InvalidError{problems}
-	}
-	d := &decoder{file: file, positions: map[string]Position{}}
-	if len(docs) != 1 {
+	switch {
+	case len(problems) > 0:
+		d.problems = problems
+		d.faulty[""] = true
+	case len(docs) != 1:
 		d.fail(nil, "", fmt.Sprintf("%d documents", len(docs)), "one document")
-	} else {
+	default:
 		d.decode(docs[0], reflect.ValueOf(out).Elem(), "")
 	}
-	if len(d.problems) > 0 {
-		return &InvalidError{d.problems}
-	}
-	return nil
+	return &d.Fields, d.problems
 }
 
 // documents splits a file into the trees of its non-empty documents.
