--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/encoder"
 	"github.com/balsamcove/balsamcove/internal/placer"
 	"github.com/balsamcove/balsamcove/internal/tracker"
@@ -80,6 +81,8 @@
 	claims    map[identifier.Task]claim
 	locals    map[identifier.Task]*local
 	here      map[identifier.Task]bool
+	unsettled map[identifier.Task]bool
+	nextSweep time.Time
 	remote    map[identifier.Task]bool
 	usage     map[identifier.Team]identifier.Size
 	workers   map[identifier.Worker]*worker
@@ -105,15 +108,16 @@
 	}
 	s := &Scheduler{
 		dc: dc, times: times, strategy: strategy,
-		set:     checker.NewSet(),
-		tasks:   map[identifier.Task]tracker.Task{},
-		claims:  map[identifier.Task]claim{},
-		locals:  map[identifier.Task]*local{},
-		here:    map[identifier.Task]bool{},
-		remote:  map[identifier.Task]bool{},
-		usage:   map[identifier.Team]identifier.Size{},
-		workers: map[identifier.Worker]*worker{},
-		cells:   map[identifier.DataCentre]time.Time{},
+		set:       checker.NewSet(),
+		tasks:     map[identifier.Task]tracker.Task{},
+		claims:    map[identifier.Task]claim{},
+		locals:    map[identifier.Task]*local{},
+		here:      map[identifier.Task]bool{},
+		unsettled: map[identifier.Task]bool{},
+		remote:    map[identifier.Task]bool{},
+		usage:     map[identifier.Team]identifier.Size{},
+		workers:   map[identifier.Worker]*worker{},
+		cells:     map[identifier.DataCentre]time.Time{},
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -202,6 +206,7 @@
 		return
 	}
 	s.here[t.ID] = true
+	s.unsettled[t.ID] = true
 	s.reserve(t.Worker, t.ID, t.Size)
 }
 
@@ -216,6 +221,7 @@
 	}
 	delete(s.remote, t.ID)
 	delete(s.here, t.ID)
+	delete(s.unsettled, t.ID)
 	if t.DataCentre == s.dc {
 		s.release(t.Worker, t.ID)
 	}
@@ -224,6 +230,7 @@
 func (s *Scheduler) checkLease(e LeaseChecked) {
 	if e.Held && (!s.lease.Held || e.Epoch != s.lease.Epoch) {
 		s.heldSince = time.Now()
+		s.nextSweep = time.Time{}
 	}
 	if e.Epoch != s.lease.Epoch {
 		s.forgetLeases()
@@ -255,17 +262,51 @@
 		return
 	}
 	s.renewWorkers()
-	s.stopUnwanted()
+	tasks, sweep := s.tasksToVisit()
+	s.stopUnwanted(tasks)
 	if !s.lease.Held || !s.tick.TaskProof.After(s.heldSince) {
 		return
 	}
-	s.settleLostWorkers()
-	s.recordReports()
+	if sweep {
+		s.settleLostWorkers()
+		s.recordReports()
+	}
 	if s.ready() {
-		s.releaseCutOff()
-		s.startClaimed()
+		s.startClaimed(tasks)
 		s.claimWaiting()
 	}
+	if s.ready() && sweep {
+		s.releaseCutOff()
+	}
+}
+
+// sweepInterval is the time between two visits to every task. Between them only
+// those are visited that are not known to run undisturbed.
+const sweepInterval = time.Second
+
+// tasksToVisit returns the tasks that this pass looks at, and whether they are
+// all. A data centre that is being drained visits all at every pass.
+func (s *Scheduler) tasksToVisit() (map[identifier.Task]bool, bool) {
+	now := time.Now()
+	if now.Before(s.nextSweep) && s.inService() {
+		s.dropSettled()
+		return s.unsettled, false
+	}
+	s.nextSweep = now.Add(sweepInterval)
+	return s.here, true
+}
+
+// dropSettled leaves out the tasks that their workers report as running and
+// that nobody wants stopped.
+func (s *Scheduler) dropSettled() {
+	for id := range s.unsettled {
+		t := s.tasks[id]
+		r, reported := s.worker(t.Worker).reported[id]
+		running := reported && r.Attempt == t.Attempt && r.Phase == connector.PhaseRunning
+		if running && !t.Cancelled && s.local(id).stopping == "" {
+			delete(s.unsettled, id)
+		}
+	}
 }
 
 func (s *Scheduler) expireClaims() {
--- /dev/null
+++ b/internal/scheduler/scheduler_bench_test.go
@@ -0,0 +1,143 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/encoder"
+	"github.com/balsamcove/balsamcove/internal/tracker"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/parser"
+)
+
+// BenchmarkPlaceTask claims one task among workers that are half full.
+func BenchmarkPlaceTask(b *testing.B) {
+	for _, workers := range []int{22, 180, 4800} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			s := newBench(parser.InService, workers)
+			for i := range workers {
+				w := identifier.Worker(fmt.Sprint("w", i))
+				s.hold(1)
+				s.report(w, 1)
+				for n := range 4 {
+					s.Update(TaskChanged{tracker.Task{
+						ID: identifier.Task(fmt.Sprint("r", i, "-", n)), Pool: "runs", State: tracker.StateClaimed,
+						Attempt: 1, DataCentre: "a", Worker: w, Size: size(2, 4),
+					}})
+				}
+			}
+			time.Sleep(time.Millisecond)
+			proof := time.Now()
+			s.Update(Tick{ConfigProof: proof, TaskProof: proof})
+			set := testSet(parser.InService)
+			set.Teams["t"].Quota = size(1<<20, 1<<20)
+			s.Update(ConfigChanged{set})
+			b.ResetTimer()
+			for i := range b.N {
+				id := identifier.Task(fmt.Sprint("n", i))
+				s.Update(TaskChanged{tracker.Task{ID: id, Pool: "runs", State: tracker.StateWaiting}})
+				s.Scheduler.tick = Tick{ConfigProof: time.Now(), TaskProof: time.Now()}
+				s.out = nil
+				s.claimWaiting()
+				s.Update(TaskChanged{tracker.Task{ID: id, Pool: "runs", State: tracker.StateEnded}})
+				for cid, c := range s.claims {
+					delete(s.claims, cid)
+					s.release(c.worker, cid)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkHeartbeatRound takes one report of a worker with running tasks.
+func BenchmarkHeartbeatRound(b *testing.B) {
+	for _, tasks := range []int{1, 16, 64} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			s := newBench(parser.InService, 1)
+			s.hold(1)
+			var reported []connector.WorkerTask
+			for n := range tasks {
+				id := identifier.Task(fmt.Sprint("r", n))
+				s.Update(TaskChanged{tracker.Task{ID: id, Pool: "runs", State: tracker.StateClaimed, Attempt: 1, DataCentre: "a", Worker: "w0", Size: size(0, 0)}})
+				reported = append(reported, connector.WorkerTask{Task: id, Attempt: 1, Phase: connector.PhaseRunning})
+			}
+			b.ResetTimer()
+			for range b.N {
+				s.Update(WorkerAnswered{Worker: "w0", Epoch: 1, SentAt: time.Now(), Report: connector.Report{Lease: "l", Tasks: reported}})
+			}
+		})
+	}
+}
+
+// BenchmarkIdleTick passes over running tasks with nothing to do.
+func BenchmarkIdleTick(b *testing.B) {
+	for _, tasks := range []int{300, 2400, 64000} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			s := newBench(parser.InService, 180)
+			s.hold(1)
+			reported := map[identifier.Worker][]connector.WorkerTask{}
+			for n := range tasks {
+				w := identifier.Worker(fmt.Sprint("w", n%180))
+				reported[w] = append(reported[w], connector.WorkerTask{Task: identifier.Task(fmt.Sprint("r", n)), Attempt: 1, Phase: connector.PhaseRunning})
+				s.Update(TaskChanged{tracker.Task{
+					ID: identifier.Task(fmt.Sprint("r", n)), Pool: "runs", State: tracker.StateClaimed, Attempt: 1,
+					DataCentre: "a", Worker: w, Size: size(0, 0), GraceMs: 1 << 40,
+				}})
+			}
+			for w, list := range reported {
+				s.report(w, 1, list...)
+			}
+			pass := func(sweep bool) {
+				now := time.Now()
+				if sweep {
+					s.nextSweep = now
+				}
+				s.hold(1)
+				s.Update(Tick{ConfigProof: now, TaskProof: now})
+			}
+			pass(true)
+			for name, sweep := range map[string]bool{"pass": false, "sweep": true} {
+				b.Run(name, func(b *testing.B) {
+					for range b.N {
+						pass(sweep)
+					}
+				})
+			}
+		})
+	}
+}
+
+var sink any
+
+// BenchmarkRecordBytes reports the encoded size of the records of one start.
+func BenchmarkRecordBytes(b *testing.B) {
+	bodies := []encoder.Body{
+		encoder.Submit{Task: "t-00000000-0000-0000-0000-000000000000", Pool: "invoices", AtUnixMs: 1796360000000},
+		encoder.Claim{
+			Task: "t-00000000-0000-0000-0000-000000000000", Attempt: 1, DataCentre: "tallinn-a", Worker: "tallinn-a-w10",
+			Epoch: 12, Size: size(2, 4), GraceMs: 60000,
+		},
+		encoder.End{Task: "t-00000000-0000-0000-0000-000000000000", Attempt: 1, Outcome: encoder.OutcomeDone},
+	}
+	for _, n := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("starts=%d", n), func(b *testing.B) {
+			var records []encoder.Record
+			for range n {
+				for _, body := range bodies {
+					records = append(records, encoder.NewRecord(body))
+				}
+			}
+			var data []byte
+			for range b.N {
+				var err error
+				if data, err = encoder.Encode(records); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(data))/float64(n), "bytes/start")
+			sink = data
+		})
+	}
+}
--- a/internal/scheduler/starter.go
+++ b/internal/scheduler/starter.go
@@ -147,8 +147,8 @@
 
 // startClaimed starts the tasks that are claimed here and that their workers do
 // not report.
-func (s *Scheduler) startClaimed() {
-	for id := range s.here {
+func (s *Scheduler) startClaimed(tasks map[identifier.Task]bool) {
+	for id := range tasks {
 		t := s.tasks[id]
 		w := s.worker(t.Worker)
 		l := s.local(id)
--- a/internal/scheduler/stopper.go
+++ b/internal/scheduler/stopper.go
@@ -12,8 +12,8 @@
 // stopUnwanted stops the tasks that must not go on here: those that were
 // cancelled, those of a drained data centre, at its rate, and those whose grace
 // has run out while the log cannot be reached.
-func (s *Scheduler) stopUnwanted() {
-	for id := range s.here {
+func (s *Scheduler) stopUnwanted(tasks map[identifier.Task]bool) {
+	for id := range tasks {
 		t := s.tasks[id]
 		w := s.worker(t.Worker)
 		l := s.local(id)
@@ -21,6 +21,7 @@
 			l.stopping = s.wantStopped(t)
 		}
 		if l.stopping != "" {
+			s.unsettled[id] = true
 			s.stopBecause(w, t, l.stopping)
 		}
 	}
