A minion without a free slot is waited for, not counted as a failure

Ruled out: a larger budget; it would let real failures multiply as well. Change: a refusal for want of a slot pauses that minion for 5 ms at this host and the request chooses again, at most 16 times, outside the retry budget.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -21,6 +21,9 @@
 const (
 	// maxSends bounds how often one request is sent.
 	maxSends = 4
+	// maxBusy bounds how often one request meets minions without a free slot; it
+	// waits in between as it does when all slots are known to be taken.
+	maxBusy = 16
 	// recheck is the wait before a full service is looked at again.
 	recheck = 5 * time.Millisecond
 	// hopAllowance is kept back from the deadline for the answer's way back.
@@ -96,6 +99,7 @@
 	localOnly bool
 	tried     *router.Tried
 	sends     int
+	busy      int
 	unknown   bool
 	last      error
 }
@@ -154,6 +158,11 @@
 	if err == nil {
 		return Answer{Status: answer.Status, Body: answer.Body, Minion: c.Host.ID}, true, nil
 	}
+	if errors.Is(err, connector.ErrRefused) && !answer.Leaving && e.busy < maxBusy {
+		e.busy++
+		e.last = err
+		return Answer{}, false, nil
+	}
 	e.tried.Minions[c.Host.ID] = true
 	return e.failed(err)
 }
@@ -180,7 +189,7 @@
 	notRun := errors.Is(err, connector.ErrNotSent) || errors.Is(err, connector.ErrRefused)
 	e.unknown = e.unknown || !notRun
 	mayRepeat := notRun || e.req.Idempotent
-	if mayRepeat && e.sends < maxSends && e.f.budget.Withdraw() {
+	if mayRepeat && e.sends-e.busy < maxSends && e.f.budget.Withdraw() {
 		return Answer{}, false, nil
 	}
 	return Answer{}, true, e.refuse(refuser.CodeUnavailable, "the request failed")
--- a/internal/router/minion.go
+++ b/internal/router/minion.go
@@ -13,6 +13,8 @@
 	failuresToEject = 3
 	firstEjection   = time.Second
 	longestEjection = 30 * time.Second
+	// busyPause is how long a minion that had no slot left is passed over.
+	busyPause = 5 * time.Millisecond
 	// leavingMemory is how long a minion that said it is leaving stays excluded
 	// although the host list shows it as live.
 	leavingMemory = time.Minute
@@ -28,13 +30,14 @@
 	ejections    int
 	ejectedUntil time.Time
 	leavingUntil time.Time
+	busyUntil    time.Time
 }
 
 // take takes a slot if one is free.
 func (m *minion) take() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.inFlight+m.foreign >= m.host.Slots {
+	if m.inFlight+m.foreign >= m.host.Slots || time.Now().Before(m.busyUntil) {
 		return false
 	}
 	m.inFlight++
@@ -46,7 +49,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	used := m.inFlight + m.foreign
-	return float64(used) / float64(max(m.host.Slots, 1)), used < m.host.Slots
+	open := used < m.host.Slots && !time.Now().Before(m.busyUntil)
+	return float64(used) / float64(max(m.host.Slots, 1)), open
 }
 
 func (m *minion) free() int {
@@ -80,6 +84,7 @@
 	case ResultLeaving:
 		m.leavingUntil = now.Add(leavingMemory)
 	case ResultBusy:
+		m.busyUntil = now.Add(busyPause)
 	case ResultFailed:
 		m.failures++
 		if m.failures >= failuresToEject {
