--- a/internal/dialer/minion.go
+++ b/internal/dialer/minion.go
@@ -24,7 +24,6 @@
 	HeaderDeadline   = "X-Deadline-Ms"
 	HeaderNotRun     = "X-Not-Run"
 	HeaderLeaving    = "X-Leaving"
-	HeaderEffect     = "X-Effect"
 	HeaderMinion     = "X-Minion"
 )
 
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -3,14 +3,19 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cockroachdb/errors"
+
+	"github.com/balsamcove/balsamcove/pkg/refuser"
 )
 
 const (
@@ -19,20 +24,64 @@
 	shutdownWait = time.Second
 )
 
+func init() {
+	// The library's own lines are not JSON and repeat what this program logs.
+	hlog.SetLevel(hlog.LevelFatal)
+}
+
+// notFound answers a path that no route has.
+func notFound(_ context.Context, c *app.RequestContext) {
+	r := refuser.New(refuser.CodeNotFound, "there is no path %q", c.Path())
+	c.Header(refuser.HeaderEffect, string(r.Effect))
+	c.JSON(consts.StatusNotFound, r)
+}
+
+// readBody reads a request's body up to a limit, so that a larger one gets a
+// refusal; the library would answer with plain text.
+func readBody(limit int) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		if !c.Request.IsBodyStream() {
+			c.Next(ctx)
+			return
+		}
+		body, err := io.ReadAll(io.LimitReader(c.RequestBodyStream(), int64(limit)+1))
+		switch {
+		case err != nil:
+			refuse(c, consts.StatusBadRequest, refuser.New(refuser.CodeInvalid, "the body ended early: %v", err))
+		case len(body) > limit:
+			refuse(c, consts.StatusRequestEntityTooLarge, refuser.New(refuser.CodeTooLarge, "the body is larger than %d bytes", limit))
+		default:
+			c.Request.SetBody(body)
+			c.Next(ctx)
+		}
+	}
+}
+
+// refuse answers before the body was read, after which the connection cannot be
+// used any further.
+func refuse(c *app.RequestContext, status int, r *refuser.Refusal) {
+	c.SetConnectionClose()
+	c.Header(refuser.HeaderEffect, string(r.Effect))
+	c.AbortWithStatusJSON(status, r)
+}
+
 // New returns a server on an open listener that accepts bodies up to maxBody
 // bytes.
 func New(ln net.Listener, maxBody int, opts ...config.Option) *server.Hertz {
-	hlog.SetLevel(hlog.LevelFatal)
 	all := []config.Option{
 		server.WithListener(ln),
 		server.WithTransport(standard.NewTransporter),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(shutdownWait),
 		server.WithMaxRequestBodySize(maxBody),
+		server.WithStreamBody(true),
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout),
 	}
-	return server.New(append(all, opts...)...)
+	h := server.New(append(all, opts...)...)
+	h.Use(readBody(maxBody))
+	h.NoRoute(notFound)
+	return h
 }
 
 // Listen opens a TCP listener.
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -116,7 +116,7 @@
 // writeRefusal answers with a refusal and the HTTP status that fits it.
 func writeRefusal(c *app.RequestContext, err error) {
 	refusal := refuser.From(err)
-	c.Header(dialer.HeaderEffect, string(refusal.Effect))
+	c.Header(refuser.HeaderEffect, string(refusal.Effect))
 	c.JSON(statusOf(refusal.Code), refusal)
 }
 
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -128,7 +128,7 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	if resp.Header.Get("X-Effect") != "" {
+	if resp.Header.Get(refuser.HeaderEffect) != "" {
 		return Answer{}, readRefusal(resp)
 	}
 	return Answer{
--- a/pkg/refuser/refuser.go
+++ b/pkg/refuser/refuser.go
@@ -20,6 +20,10 @@
 	Unknown Effect = "unknown"
 )
 
+// HeaderEffect is the HTTP header that tells a refusal from an answer; its value
+// is the effect.
+const HeaderEffect = "X-Effect"
+
 // Code names the reason of a refusal.
 type Code string
 
