Decode only the objects that a publication changed

Cause: every publication decoded the whole set, 20.9 ms at 3000 objects; at 0.28 changes a second that is half of a node's processor budget. Change: the fold keeps decoded objects and drops those that change. The demo's clean-up also ends a load that is under way.

--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -51,6 +51,7 @@
 type Publisher struct {
 	version identifier.ConfigVersion
 	objects map[parser.Key][]byte
+	decoded map[parser.Key]parser.Object
 	history []Change
 }
 
@@ -99,10 +100,12 @@
 	c := Change{Publication: rec.Publication, Version: p.version + 1, Author: rec.Author, AtUnixMs: rec.AtUnixMs}
 	for _, k := range rec.Deletes {
 		delete(p.objects, k)
+		delete(p.decoded, k)
 		c.Deletes = append(c.Deletes, k.String())
 	}
 	for _, o := range rec.Upserts {
 		p.objects[o.Key] = o.Data
+		delete(p.decoded, o.Key)
 		c.Upserts = append(c.Upserts, o.Key.String())
 	}
 	p.version = c.Version
@@ -113,22 +116,39 @@
 	return c
 }
 
-// Set decodes the configuration in force. The error is marked ErrUnreadable.
+// Set returns the configuration in force, whose objects must not be changed.
+// Only objects that changed since the last call are decoded. The error is
+// marked ErrUnreadable.
 func (p *Publisher) Set() (*checker.Set, error) {
+	if p.decoded == nil {
+		p.decoded = map[parser.Key]parser.Object{}
+	}
 	set := checker.NewSet()
 	for k, data := range p.objects {
-		obj := parser.New(k.Kind)
-		if obj == nil {
-			return nil, errors.Mark(errors.Newf("object kind %q", k.Kind), ErrUnreadable)
-		}
-		if err := json.Unmarshal(data, obj); err != nil {
-			return nil, errors.Mark(errors.Wrapf(err, "object %s", k), ErrUnreadable)
+		obj, known := p.decoded[k]
+		if !known {
+			var err error
+			if obj, err = decode(k, data); err != nil {
+				return nil, err
+			}
+			p.decoded[k] = obj
 		}
 		set.Put(obj)
 	}
 	return set, nil
 }
 
+func decode(k parser.Key, data []byte) (parser.Object, error) {
+	obj := parser.New(k.Kind)
+	if obj == nil {
+		return nil, errors.Mark(errors.Newf("object kind %q", k.Kind), ErrUnreadable)
+	}
+	if err := json.Unmarshal(data, obj); err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "object %s", k), ErrUnreadable)
+	}
+	return obj, nil
+}
+
 // Store returns the object in the form that a publication carries.
 func Store(obj parser.Object) (encoder.StoredObject, error) {
 	data, err := json.Marshal(obj)
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -38,3 +38,38 @@
 		}
 	})
 }
+
+func TestSetShowsWhatIsInForce(t *testing.T) {
+	var p Publisher
+	put := func(quota identifier.Millicores) encoder.StoredObject {
+		stored, err := Store(&parser.Team{Kind: parser.KindTeam, Name: "t", Quota: identifier.Size{Processors: quota}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return stored
+	}
+	key := parser.Key{Kind: parser.KindTeam, Name: "t"}
+	steps := []struct {
+		rec  encoder.Publish
+		want identifier.Millicores
+	}{
+		{encoder.Publish{Publication: "1", Base: 0, Upserts: []encoder.StoredObject{put(5)}}, 5},
+		{encoder.Publish{Publication: "2", Base: 1, Upserts: []encoder.StoredObject{put(7)}}, 7},
+		{encoder.Publish{Publication: "3", Base: 2, Deletes: []parser.Key{key}}, 0},
+		{encoder.Publish{Publication: "4", Base: 3, Upserts: []encoder.StoredObject{put(9)}}, 9},
+	}
+	for _, step := range steps {
+		p.Apply(step.rec)
+		set, err := p.Set()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got identifier.Millicores
+		if team := set.Teams["t"]; team != nil {
+			got = team.Quota.Processors
+		}
+		if got != step.want {
+			t.Errorf("publication %s: quota %d in force, want %d", step.rec.Publication, got, step.want)
+		}
+	}
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -11,6 +11,7 @@
 finish() {
   code=$?
   trap - EXIT INT TERM
+  [ -n "${load:-}" ] && kill -KILL "$load" 2>/dev/null
   for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null; done
   wait 2>/dev/null
   if [ "$code" -eq 0 ]; then
@@ -90,6 +91,7 @@
 load=$!
 sleep 1
 kill -KILL "${entry_pid[1]}"
+wait "${entry_pid[1]}" 2>/dev/null
 sleep 1
 kill -TERM "${entry_pid[11]}"
 wait "$load" || fail "load failed"
