Send requests of a drained data centre elsewhere first

Cause: TestChoices (failing first: chose local, want e3): a host of a drained data centre went on using its own minions first, so that a drain moved tasks but no requests. Change: a drained data centre's hosts forward while another has free slots, and serve by themselves what nobody takes, as when they are cut off. Also: one way to start a trial in tests, to read objects in commands; a data centre that does not exist is a typed refusal in drain and restore.

--- a/internal/commander/config.go
+++ b/internal/commander/config.go
@@ -12,11 +12,22 @@
 	"github.com/balsamcove/balsamcove/pkg/client"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 	"github.com/balsamcove/balsamcove/pkg/parser"
+	"github.com/balsamcove/balsamcove/pkg/refuser"
 )
 
 // drainPoll is the wait between two looks at a data centre's progress.
 const drainPoll = 200 * time.Millisecond
 
+// readObjects reads and parses configuration files. Problems of the files are
+// left to those who check them.
+func readObjects(files []string) (*parser.Parsed, error) {
+	sources, err := readSources(files)
+	if err != nil {
+		return nil, err
+	}
+	return parser.Parse(sources), nil
+}
+
 func readSources(files []string) ([]parser.Source, error) {
 	var out []parser.Source
 	for _, f := range files {
@@ -35,11 +46,10 @@
 
 // Run checks the files as one whole set.
 func (c *checkCommand) Run(s *session) error {
-	sources, err := readSources(c.Files)
+	parsed, err := readObjects(c.Files)
 	if err != nil {
 		return err
 	}
-	parsed := parser.Parse(sources)
 	problems := checker.Check(checker.NewSet(parsed.Objects...), parsed)
 	if len(problems) > 0 {
 		return &parser.InvalidError{Problems: problems}
@@ -149,11 +159,10 @@
 
 // Run shows what publishing the files would change.
 func (c *diffCommand) Run(s *session) error {
-	sources, err := readSources(c.Files)
+	parsed, err := readObjects(c.Files)
 	if err != nil {
 		return err
 	}
-	parsed := parser.Parse(sources)
 	if len(parsed.Problems) > 0 {
 		return &parser.InvalidError{Problems: parsed.Problems}
 	}
@@ -313,20 +322,30 @@
 		if o.Key != key {
 			continue
 		}
-		obj, ok := parser.Parse([]parser.Source{{File: key.String(), Text: o.Text}}).Objects[0].(*parser.DataCentre)
-		if !ok {
-			break
-		}
-		obj.State = state
-		text, err := parser.Format(obj)
+		text, err := withState(o, state)
 		if err != nil {
 			return err
 		}
 		return s.publish(client.Publication{
 			ID:   identifier.Publication(identifier.NewName("p-")),
 			Base: &cfg.Version, Author: os.Getenv("USER"),
-			Sources: []parser.Source{{File: key.String(), Text: string(text)}},
+			Sources: []parser.Source{{File: key.String(), Text: text}},
 		})
 	}
-	return errors.Newf("there is no data centre %q", dc)
+	return refuser.New(refuser.CodeNotFound, "there is no data centre %q", dc)
+}
+
+// withState returns the text of a data centre with another state.
+func withState(o client.ObjectText, state parser.Availability) (string, error) {
+	parsed := parser.Parse([]parser.Source{{File: o.Key.String(), Text: o.Text}})
+	if len(parsed.Problems) > 0 {
+		return "", &parser.InvalidError{Problems: parsed.Problems}
+	}
+	for _, obj := range parsed.Objects {
+		if dc, ok := obj.(*parser.DataCentre); ok {
+			dc.State = state
+		}
+	}
+	text, err := parser.Format(parsed.Objects[0])
+	return string(text), err
 }
--- a/internal/coordinator/config_test.go
+++ b/internal/coordinator/config_test.go
@@ -109,16 +109,8 @@
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			plan := emulator.Plan(seed, 6, 10*time.Second, 4*time.Second, 4, kinds...)
 			synctest.Test(t, func(t *testing.T) {
-				tr := &trial{
-					cluster: newCluster(t, 1), turn: make(turn, 1), names: []string{"a1", "a2", "b1", "b2"},
-					highest: map[string]identifier.ConfigVersion{}, crashed: map[identifier.Worker]bool{},
-				}
+				tr := newTrial(t, 1)
 				defer tr.stopAll()
-				for _, name := range tr.names {
-					tr.start(name, tr.dcOf(name))
-				}
-				time.Sleep(2 * time.Second)
-				tr.mustPublish(tr.hosts["a1"], baseConfig)
 				var history []porcupine.Operation
 				raced := make(chan struct{})
 				go func() {
--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -297,6 +297,20 @@
 	}
 }
 
+// newTrial starts two hosts in each data centre and publishes the configuration.
+func newTrial(t *testing.T, workersPerDC int) *trial {
+	tr := &trial{
+		cluster: newCluster(t, workersPerDC), turn: make(turn, 1), names: []string{"a1", "a2", "b1", "b2"},
+		highest: map[string]identifier.ConfigVersion{}, crashed: map[identifier.Worker]bool{},
+	}
+	for _, name := range tr.names {
+		tr.start(name, tr.dcOf(name))
+	}
+	time.Sleep(2 * time.Second)
+	tr.mustPublish(tr.hosts["a1"], baseConfig)
+	return tr
+}
+
 func runTrial(t *testing.T, seed uint64, n int, kinds ...emulator.FaultKind) {
 	const span, longest = 40 * time.Second, 15 * time.Second
 	plan := emulator.Plan(seed, n, span, longest, 12, kinds...)
@@ -306,16 +320,8 @@
 		}
 	}()
 	synctest.Test(t, func(t *testing.T) {
-		tr := &trial{
-			cluster: newCluster(t, 3), turn: make(turn, 1), names: []string{"a1", "a2", "b1", "b2"},
-			highest: map[string]identifier.ConfigVersion{}, crashed: map[identifier.Worker]bool{},
-		}
+		tr := newTrial(t, 3)
 		defer tr.stopAll()
-		for _, name := range tr.names {
-			tr.start(name, tr.dcOf(name))
-		}
-		time.Sleep(2 * time.Second)
-		tr.mustPublish(tr.hosts["a1"], baseConfig)
 		tr.run(plan, span)
 		tr.finish()
 	})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -247,17 +247,30 @@
 	if s == nil {
 		s = &shard{}
 	}
+	away := r.order(obj)
+	if !localOnly && r.drained() {
+		if c, ok := r.forward(s, service, away[1:], tried); ok {
+			return c
+		}
+	}
 	if c, ok := s.takeOwned(r.strategy, tried); ok {
 		return c
 	}
 	if !localOnly {
-		if c, ok := r.forward(s, obj, tried); ok {
+		if c, ok := r.forward(s, service, away, tried); ok {
 			return c
 		}
 	}
 	return r.waitOrNone(service, tried)
 }
 
+// drained reports whether the operators have taken this data centre out. Its
+// minions then serve only what no other data centre takes.
+func (r *Router) drained() bool {
+	dc := r.set.DataCentres[r.dc]
+	return dc != nil && dc.State == parser.Drained
+}
+
 // takeOwned takes a slot on an owned minion. Ejected minions are used only when
 // more than half of the owned ones are ejected.
 func (s *shard) takeOwned(strategy Strategy, tried *Tried) (Choice, bool) {
@@ -317,11 +330,11 @@
 	return None{"no minion takes requests now"}
 }
 
-// forward chooses the entry host with the most free slots, in this data centre
-// first and then in the others in the order of the service's policy.
-func (r *Router) forward(s *shard, obj *parser.Service, tried *Tried) (Choice, bool) {
-	for _, dc := range r.order(obj) {
-		if p, ok := r.bestPeer(s, dc, obj.Name, tried); ok {
+// forward chooses the entry host with the most free slots in the first data
+// centre that has any.
+func (r *Router) forward(s *shard, service identifier.Service, order []identifier.DataCentre, tried *Tried) (Choice, bool) {
+	for _, dc := range order {
+		if p, ok := r.bestPeer(s, dc, service, tried); ok {
 			if s.forwards != nil {
 				s.mu.Lock()
 				s.forwards[p.Entry]++
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -78,6 +78,7 @@
 		members []identifier.Entry
 		peers   []Peer
 		service identifier.Service
+		drained bool
 		want    string
 	}{
 		"own minion":                     {minions: 1, members: []identifier.Entry{"e1"}, want: "local"},
@@ -85,6 +86,8 @@
 		"other data centre when full":    {members: []identifier.Entry{"e2"}, minions: 1, peers: []Peer{peer("e2", "a", 0), peer("e3", "c", 9)}, want: "e3"},
 		"never a drained data centre":    {members: []identifier.Entry{"e2"}, minions: 1, peers: []Peer{peer("e3", "b", 9)}, want: "wait"},
 		"minions passing between owners": {members: []identifier.Entry{"e2"}, minions: 1, want: "wait"},
+		"elsewhere first when drained":   {minions: 1, members: []identifier.Entry{"e1"}, peers: []Peer{peer("e3", "c", 1)}, drained: true, want: "e3"},
+		"here when drained and cut off":  {minions: 1, members: []identifier.Entry{"e1"}, drained: true, want: "local"},
 		"no minion":                      {members: []identifier.Entry{"e1"}, want: "none"},
 		"no service":                     {members: []identifier.Entry{"e1"}, minions: 1, service: "other", want: "none"},
 	}
@@ -92,6 +95,11 @@
 		t.Run(name, func(t *testing.T) {
 			r := newTestRouter("e1", tc.minions)
 			r.SetMembers(tc.members, tc.peers)
+			if tc.drained {
+				set := testSet()
+				set.DataCentres["a"].State = parser.Drained
+				r.SetConfig(set)
+			}
 			service := identifier.Service("desk")
 			if tc.service != "" {
 				service = tc.service
