--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -13,6 +13,7 @@
 type waitingEntry struct {
 	id    identifier.Task
 	rank  int
+	fresh bool
 	atMs  int64
 	since time.Time
 }
@@ -21,13 +22,17 @@
 	if e.rank != o.rank {
 		return e.rank < o.rank
 	}
+	if e.fresh != o.fresh {
+		return o.fresh
+	}
 	if e.atMs != o.atMs {
 		return e.atMs < o.atMs
 	}
 	return e.id < o.id
 }
 
-// queue keeps waiting tasks in order: the more urgent first, then the older.
+// queue keeps waiting tasks in order: the more urgent first, of those the ones
+// that were running before they were evicted, then the older.
 // The zero value is empty.
 type queue struct {
 	entries []waitingEntry
@@ -35,7 +40,7 @@
 }
 
 func waitingTask(t tracker.Task, pool *parser.BatchPool) waitingEntry {
-	e := waitingEntry{id: t.ID, rank: rankOf(parser.PriorityLow) + 1, atMs: t.AtUnixMs, since: time.Now()}
+	e := waitingEntry{id: t.ID, rank: rankOf(parser.PriorityLow) + 1, fresh: t.Evictions == 0, atMs: t.AtUnixMs, since: time.Now()}
 	if pool != nil {
 		e.rank = rankOf(pool.Priority)
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -266,3 +267,21 @@
 	}
 	return ""
 }
+
+func TestQueueOrder(t *testing.T) {
+	pool := func(p parser.Priority) *parser.BatchPool { return &parser.BatchPool{Priority: p} }
+	var q queue
+	q.insert(waitingTask(tracker.Task{ID: "old", AtUnixMs: 1}, pool(parser.PriorityNormal)))
+	q.insert(waitingTask(tracker.Task{ID: "evicted", AtUnixMs: 9, Evictions: 1}, pool(parser.PriorityNormal)))
+	q.insert(waitingTask(tracker.Task{ID: "urgent", AtUnixMs: 10}, pool(parser.PriorityUrgent)))
+	q.insert(waitingTask(tracker.Task{ID: "low", AtUnixMs: 0, Evictions: 1}, pool(parser.PriorityLow)))
+	q.insert(waitingTask(tracker.Task{ID: "older", AtUnixMs: 0}, pool(parser.PriorityNormal)))
+	q.remove("old")
+	var got []identifier.Task
+	for _, e := range q.entries {
+		got = append(got, e.id)
+	}
+	if want := []identifier.Task{"urgent", "evicted", "older", "low"}; !slices.Equal(got, want) {
+		t.Errorf("order %v, want %v", got, want)
+	}
+}
