Read as a new user: authors of drains, cancel's words, readiness as described

Cause: a walk through the README: a drain was published without an author when USER is not set; cancel said 'cancelling' of a task that had ended; readiness was described as reaching what the peers know, which only the log's head gave.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,8 @@
 	@scripts/demo.sh
 
 test: lint unit
+	@echo "Known to fail, see KNOWN-RED.txt:"
+	@grep -v '^#' KNOWN-RED.txt || echo "none"
 
 lint:
 	$(GOLANGCI) run ./...
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -40,6 +40,7 @@
 	Server  []string      `help:"Administration addresses of entry hosts; the first that can be reached is used." env:"BALSAMCOVE_SERVER" default:"127.0.0.1:7201" sep:"," placeholder:"IP:PORT"`
 	Output  string        `help:"Output format: ${enum}." enum:"text,json" default:"text" short:"o"`
 	Timeout time.Duration `help:"Time limit of a call." default:"15s"`
+	Author  string        `help:"Who changes the configuration." env:"USER" default:"operator"`
 }
 
 type commandLine struct {
--- a/internal/commander/config.go
+++ b/internal/commander/config.go
@@ -65,7 +65,6 @@
 	Delete []string `help:"Objects to delete, such as service/hire-desk." placeholder:"KIND/NAME"`
 	Base   *uint64  `help:"Version that is changed; without it, whatever is in force." placeholder:"VERSION"`
 	ID     string   `help:"Identity of the publication, to send it again." placeholder:"ID"`
-	Author string   `help:"Who publishes." env:"USER" default:"operator"`
 }
 
 // Run publishes the files.
@@ -77,7 +76,7 @@
 	if problems := parser.Parse(sources).Problems; len(problems) > 0 {
 		return &parser.InvalidError{Problems: problems}
 	}
-	p := client.Publication{ID: identifier.Publication(c.ID), Author: c.Author, Sources: sources}
+	p := client.Publication{ID: identifier.Publication(c.ID), Author: s.Author, Sources: sources}
 	if c.ID == "" {
 		p.ID = identifier.Publication(identifier.NewName("p-"))
 	}
@@ -328,7 +327,7 @@
 		}
 		return s.publish(client.Publication{
 			ID:   identifier.Publication(identifier.NewName("p-")),
-			Base: &cfg.Version, Author: os.Getenv("USER"),
+			Base: &cfg.Version, Author: s.Author,
 			Sources: []parser.Source{{File: key.String(), Text: text}},
 		})
 	}
--- a/internal/commander/task.go
+++ b/internal/commander/task.go
@@ -84,7 +84,7 @@
 			failed = errors.CombineErrors(failed, err)
 			continue
 		}
-		if err := s.print(t, func() { s.line("cancelling: task %s %s", t.ID, t.State) }); err != nil {
+		if err := s.print(t, func() { s.line("accepted: task %s %s%s", t.ID, t.State, suffix(t.Outcome)) }); err != nil {
 			return err
 		}
 	}
--- a/internal/heartbeater/table.go
+++ b/internal/heartbeater/table.go
@@ -33,6 +33,7 @@
 	Seq         uint64                     `json:"seq"`
 	Leaving     bool                       `json:"leaving,omitempty"`
 	Ready       bool                       `json:"ready"`
+	Version     identifier.ConfigVersion   `json:"version"`
 	Free        map[identifier.Service]int `json:"free,omitempty"`
 	InFlight    map[identifier.Minion]int  `json:"inFlight,omitempty"`
 }
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -54,7 +54,7 @@
 		if s.leaving.Load() {
 			c.SetConnectionClose()
 		}
-		if !s.coord.Status().CaughtUp {
+		if !s.caughtUp() {
 			writeRefusal(c, refuser.New(refuser.CodeNotReady, "this entry host has not caught up with the log"))
 			return
 		}
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -95,8 +95,10 @@
 	defer ticker.Stop()
 	for n := 0; ; n++ {
 		free, inFlight := s.router.Report()
-		ready := s.ready()
-		s.table.SetSelf(func(r *heartbeater.Report) { r.Free, r.InFlight, r.Ready = free, inFlight, ready })
+		ready, version := s.ready(), s.coord.Status().Version
+		s.table.SetSelf(func(r *heartbeater.Report) {
+			r.Free, r.InFlight, r.Ready, r.Version = free, inFlight, ready, version
+		})
 		for _, to := range s.table.Targets(n%remoteEvery == 0, rand.IntN) {
 			go s.beatOne(ctx, to)
 		}
@@ -179,7 +181,7 @@
 }
 
 func (s *Server) passState() (any, error) {
-	if !s.coord.Status().CaughtUp {
+	if !s.caughtUp() {
 		return nil, refuser.New(refuser.CodeNotReady, "this entry host has not caught up")
 	}
 	return s.coord.States()
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -31,7 +31,7 @@
 	arrived := time.Now()
 	name := identifier.Service(c.Param("service"))
 	service, ok := s.coord.Set().Services[name]
-	if !s.coord.Status().CaughtUp {
+	if !s.caughtUp() {
 		writeRefusal(c, refuser.New(refuser.CodeNotReady, "this entry host has not caught up with the log"))
 		return
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -60,6 +60,7 @@
 	admin   *server.Hertz
 	peers   *messenger.Server
 	leaving atomic.Bool
+	current atomic.Bool
 	serving atomic.Int64
 }
 
@@ -242,8 +243,25 @@
 	return nil
 }
 
-// ready reports whether the host may serve: it has read all streams, and at
-// least as far as every peer of its data centre says it has.
-func (s *Server) ready() bool {
-	return !s.leaving.Load() && s.coord.Status().CaughtUp
+// ready reports whether the balancer may send callers to this host.
+func (s *Server) ready() bool { return !s.leaving.Load() && s.caughtUp() }
+
+// caughtUp reports whether the host may serve: it has once read all streams, or
+// taken them from a peer, and then knew at least the configuration of every
+// live host of its data centre.
+func (s *Server) caughtUp() bool {
+	if s.current.Load() {
+		return true
+	}
+	status := s.coord.Status()
+	if !status.CaughtUp {
+		return false
+	}
+	for _, r := range s.table.Alive() {
+		if r.DataCentre == s.cfg.DataCentre && r.Version > status.Version {
+			return false
+		}
+	}
+	s.current.Store(true)
+	return true
 }
