Prove that a cut-off data centre starts nothing after its drain

Change: TestNoStartInADrainedDataCentreThatIsCutOff: a claimed task whose start does not get through, a cut, a drain from outside, a worker that can be reached again.

--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -24,7 +24,8 @@
 // maxStartAfterDrain is how long after an accepted drain a task may start.
 const maxStartAfterDrain = 5 * time.Second
 
-// change is the time of an accepted drain, or of the first try to restore.
+// change is the time of an accepted drain, or of a try to restore: any may take
+// effect although its operator was told that the outcome is unknown.
 type change struct {
 	dc identifier.DataCentre
 	at time.Time
@@ -138,8 +139,8 @@
 	}
 	tr.drains = append(tr.drains, change{dc, time.Now()})
 	return func() {
-		tr.restores = append(tr.restores, change{dc, time.Now()})
 		for {
+			tr.restores = append(tr.restores, change{dc, time.Now()})
 			if h := tr.anyHost(); h != nil && tr.publish(h, drainText(string(dc), parser.InService)) == nil {
 				return
 			}
--- a/internal/coordinator/recovery_test.go
+++ b/internal/coordinator/recovery_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -182,3 +183,38 @@
 	}
 	return ""
 }
+
+// TestNoStartInADrainedDataCentreThatIsCutOff claims a task whose worker cannot
+// be reached, cuts the data centre off from the log, drains it from outside and
+// lets the worker be reached again.
+func TestNoStartInADrainedDataCentreThatIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		defer c.stopAll()
+		a, b := c.start("a1", "a"), c.start("b1", "b")
+		time.Sleep(2 * time.Second)
+		c.mustPublish(a, baseConfig)
+		a.reach.delayStarts(20 * time.Second)
+		c.mustSubmit(a, "watch-1", "watches")
+		c.await(2*time.Second, "claimed in a", func() bool {
+			task, _ := a.Task("watch-1")
+			return task.DataCentre == "a"
+		})
+		a.log.Cut(true)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		p := Publication{ID: "p-drain", AnyBase: true, Sources: []parser.Source{{Text: drainText("a", parser.Drained)}}}
+		if _, err := b.Publish(ctx, p); err != nil {
+			t.Fatal(err)
+		}
+		drainedAt := time.Now()
+		time.Sleep(maxStartAfterDrain)
+		a.reach.delayStarts(0)
+		time.Sleep(time.Minute)
+		for _, e := range c.startsOf("watch-1") {
+			if at := time.Unix(0, e.AtUnixNano); e.DataCentre == "a" && at.After(drainedAt.Add(maxStartAfterDrain)) {
+				t.Errorf("started in a %s after it was drained", at.Sub(drainedAt))
+			}
+		}
+	})
+}
