Open a new lease after a start without an answer

The start names a lease, and renewals kept that lease alive; only a worker that was silent as well lost it. Ruled out: a shorter start time-out (the call is already given up after 1 s). Change: a start of unknown outcome makes the holder open a new lease on the worker at once, which refuses the old one's starts. A start that was certainly not made (not sent, fenced, lease expired) does not.

--- a/internal/coordinator/effect.go
+++ b/internal/coordinator/effect.go
@@ -71,7 +71,7 @@
 func (c *Coordinator) start(ctx context.Context, o scheduler.StartTask) {
 	answer := scheduler.StartAnswered{
 		Worker: o.Host.ID, Task: o.Order.Task, Attempt: o.Order.Attempt,
-		Result: scheduler.StartUnknown,
+		Result: scheduler.StartNotDone,
 	}
 	defer func() { c.post(answer) }()
 	if !c.mayStart(o.Order.Epoch) {
@@ -87,7 +87,10 @@
 			zap.String("worker", string(o.Host.ID)))
 	case errors.Is(err, connector.ErrRefused):
 		answer.Result, answer.Detail = scheduler.StartRefused, err.Error()
+	case errors.IsAny(err, connector.ErrNotSent, connector.ErrFenced, connector.ErrLeaseExpired):
+		c.logFailure(o.Host, err)
 	default:
+		answer.Result = scheduler.StartUnknown
 		c.logFailure(o.Host, err)
 	}
 }
--- a/internal/scheduler/message.go
+++ b/internal/scheduler/message.go
@@ -67,8 +67,13 @@
 
 // The outcomes of a StartTask.
 const (
+	// StartAccepted says that the attempt runs.
 	StartAccepted StartResult = iota
+	// StartRefused says that the worker will not run the attempt.
 	StartRefused
+	// StartNotDone says that the attempt was certainly not started by this call.
+	StartNotDone
+	// StartUnknown says that the call may still take effect, even later.
 	StartUnknown
 )
 
--- a/internal/scheduler/starter.go
+++ b/internal/scheduler/starter.go
@@ -214,5 +214,7 @@
 			Detail: e.Detail, MaxAttempts: s.maxAttempts(t),
 		})
 	case StartUnknown:
+		s.reopen(s.worker(e.Worker))
+	case StartNotDone:
 	}
 }
