Note a pool without quota once a pass

Cause: with a team's quota used up, every waiting task of it summed usage and all pending claims: 41 ms a pass at 10000 waiting, 20 passes a second. Change: a pass notes pools without quota as it notes sizes without room.

--- a/internal/scheduler/scheduler_bench_test.go
+++ b/internal/scheduler/scheduler_bench_test.go
@@ -141,3 +141,35 @@
 		})
 	}
 }
+
+// BenchmarkSaturatedPass looks at waiting tasks for which there is no room, or
+// no quota left.
+func BenchmarkSaturatedPass(b *testing.B) {
+	for name, quota := range map[string]identifier.Size{"room": size(1<<20, 1<<20), "quota": size(300, 1<<20)} {
+		for _, waiting := range []int{100, 1000, 10000} {
+			b.Run(fmt.Sprintf("%s/waiting=%d", name, waiting), func(b *testing.B) {
+				s := newBench(parser.InService, 22)
+				set := testSet(parser.InService)
+				set.Teams["t"].Quota = quota
+				s.Update(ConfigChanged{set})
+				s.hold(1)
+				for i := range 22 {
+					s.report(identifier.Worker(fmt.Sprint("w", i)), 1)
+				}
+				for i := range waiting + 200 {
+					s.Update(TaskChanged{waitingRun(fmt.Sprint("r", i))})
+				}
+				time.Sleep(time.Millisecond)
+				b.ResetTimer()
+				for range b.N {
+					for id, c := range s.claims {
+						c.expires = time.Now().Add(time.Hour)
+						s.claims[id] = c
+					}
+					now := time.Now()
+					s.Update(Tick{ConfigProof: now, TaskProof: now})
+				}
+			})
+		}
+	}
+}
--- a/internal/scheduler/starter.go
+++ b/internal/scheduler/starter.go
@@ -20,15 +20,23 @@
 	if len(rooms) == 0 {
 		return
 	}
-	noRoom := map[identifier.Size]bool{}
+	p := &pass{rooms: rooms, noRoom: map[identifier.Size]bool{}, noQuota: map[identifier.Pool]bool{}}
 	for _, e := range s.waiting.entries {
 		if len(s.claims) >= maxClaims {
 			return
 		}
-		s.tryClaim(s.tasks[e.id], rooms, noRoom)
+		s.tryClaim(s.tasks[e.id], p)
 	}
 }
 
+// pass is what one look at the waiting tasks has found so far. Room and quota
+// only shrink within a pass.
+type pass struct {
+	rooms   []placer.Candidate
+	noRoom  map[identifier.Size]bool
+	noQuota map[identifier.Pool]bool
+}
+
 // candidates returns the workers that may take tasks.
 func (s *Scheduler) candidates() []placer.Candidate {
 	out := make([]placer.Candidate, 0, len(s.workers))
@@ -40,23 +48,26 @@
 	return out
 }
 
-// tryClaim claims a task if a worker has room. Sizes for which none had are
-// noted in noRoom, since room only shrinks within a pass.
-func (s *Scheduler) tryClaim(t tracker.Task, rooms []placer.Candidate, noRoom map[identifier.Size]bool) {
+// tryClaim claims a task if its team has quota and a worker has room.
+func (s *Scheduler) tryClaim(t tracker.Task, p *pass) {
 	pool := s.set.Pools[t.Pool]
-	if pool == nil || noRoom[pool.Size] || !s.mayClaim(t, pool) {
+	if pool == nil || p.noRoom[pool.Size] || p.noQuota[pool.Name] || !s.mayClaim(t, pool) {
+		return
+	}
+	if !s.withinQuota(pool) {
+		p.noQuota[pool.Name] = true
 		return
 	}
-	worker, ok := placer.Choose(s.strategy, pool.Size, withoutFailed(t, rooms))
+	worker, ok := placer.Choose(s.strategy, pool.Size, withoutFailed(t, p.rooms))
 	if !ok {
-		noRoom[pool.Size] = len(t.Failures) == 0
+		p.noRoom[pool.Size] = len(t.Failures) == 0
 		return
 	}
 	s.claims[t.ID] = claim{worker: worker, size: pool.Size, team: pool.Team, expires: time.Now().Add(s.times.Resend)}
 	s.reserve(worker, t.ID, pool.Size)
-	for i := range rooms {
-		if rooms[i].Worker == worker {
-			rooms[i].Room = rooms[i].Room.Sub(pool.Size)
+	for i := range p.rooms {
+		if p.rooms[i].Worker == worker {
+			p.rooms[i].Room = p.rooms[i].Room.Sub(pool.Size)
 		}
 	}
 	s.emit(Append{t.ID, encoder.Claim{
@@ -66,13 +77,14 @@
 	}})
 }
 
-// mayClaim reports whether the task may be placed here now, room aside.
+// mayClaim reports whether the task may be placed here now, quota and room
+// aside.
 func (s *Scheduler) mayClaim(t tracker.Task, pool *parser.BatchPool) bool {
 	if _, pending := s.claims[t.ID]; pending {
 		return false
 	}
 	rank, allowed := s.preference(t, pool)
-	if !allowed || !s.withinQuota(pool) {
+	if !allowed {
 		return false
 	}
 	age := time.Since(s.waiting.since(t.ID))
