Order data centres only for requests that leave; one way to write a refusal

Since requests of a drained data centre go elsewhere first, every request computed the order of data centres, also those that an owned minion takes. A refusal was written in three places, the live hosts of the own data centre were picked out in four, a pass asked twice whether the scheduler is ready. Change: the order is computed where it is used; listener.WriteRefusal and neighbours serve all; the pass asks once. Behaviour and tests are the same.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -31,9 +31,13 @@
 
 // notFound answers a path that no route has.
 func notFound(_ context.Context, c *app.RequestContext) {
-	r := refuser.New(refuser.CodeNotFound, "there is no path %q", c.Path())
+	WriteRefusal(c, consts.StatusNotFound, refuser.New(refuser.CodeNotFound, "there is no path %q", c.Path()))
+}
+
+// WriteRefusal answers with a refusal under an HTTP status.
+func WriteRefusal(c *app.RequestContext, status int, r *refuser.Refusal) {
 	c.Header(refuser.HeaderEffect, string(r.Effect))
-	c.JSON(consts.StatusNotFound, r)
+	c.JSON(status, r)
 }
 
 // readBody reads a request's body up to a limit, so that a larger one gets a
@@ -61,8 +65,8 @@
 // used any further.
 func refuse(c *app.RequestContext, status int, r *refuser.Refusal) {
 	c.SetConnectionClose()
-	c.Header(refuser.HeaderEffect, string(r.Effect))
-	c.AbortWithStatusJSON(status, r)
+	WriteRefusal(c, status, r)
+	c.Abort()
 }
 
 // New returns a server on an open listener that accepts bodies up to maxBody
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -247,9 +247,8 @@
 	if s == nil {
 		s = &shard{}
 	}
-	away := r.order(obj)
 	if !localOnly && r.drained() {
-		if c, ok := r.forward(s, service, away[1:], tried); ok {
+		if c, ok := r.forward(s, service, r.order(obj)[1:], tried); ok {
 			return c
 		}
 	}
@@ -257,7 +256,7 @@
 		return c
 	}
 	if !localOnly {
-		if c, ok := r.forward(s, service, away, tried); ok {
+		if c, ok := r.forward(s, service, r.order(obj), tried); ok {
 			return c
 		}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -271,11 +271,12 @@
 		s.settleLostWorkers()
 		s.recordReports()
 	}
-	if s.ready() {
-		s.startClaimed(tasks)
-		s.claimWaiting()
+	if !s.ready() {
+		return
 	}
-	if s.ready() && sweep {
+	s.startClaimed(tasks)
+	s.claimWaiting()
+	if sweep {
 		s.releaseCutOff()
 	}
 }
--- a/internal/server/home.go
+++ b/internal/server/home.go
@@ -97,19 +97,14 @@
 }
 
 func (s *Server) pullMemoryOnce(ctx context.Context) bool {
-	var peers []string
-	for _, r := range s.table.Alive() {
-		if r.DataCentre == s.cfg.DataCentre {
-			peers = append(peers, r.Address)
-		}
-	}
+	peers := s.neighbours()
 	if len(peers) == 0 {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, memoryTimeout)
 	defer cancel()
 	var known []identifier.Request
-	address := peers[rand.IntN(len(peers))]
+	address := peers[rand.IntN(len(peers))].Address
 	if err := s.client.Call(ctx, address, messenger.MethodMemory, struct{}{}, &known); err != nil {
 		s.logger.Debug("memory not taken from peer", zap.String("peer", address), zap.Error(err))
 		return false
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -134,13 +135,16 @@
 	return s.table.Beat(from), nil
 }
 
+// neighbours returns the reports of the other live hosts of this data centre.
+func (s *Server) neighbours() []heartbeater.Report {
+	return slices.DeleteFunc(s.table.Alive(), func(r heartbeater.Report) bool { return r.DataCentre != s.cfg.DataCentre })
+}
+
 // livePeers returns the other live hosts of this data centre.
 func (s *Server) livePeers() []identifier.Incarnation {
 	var out []identifier.Incarnation
-	for _, r := range s.table.Alive() {
-		if r.DataCentre == s.cfg.DataCentre {
-			out = append(out, r.Incarnation)
-		}
+	for _, r := range s.neighbours() {
+		out = append(out, r.Incarnation)
 	}
 	return out
 }
@@ -161,8 +165,8 @@
 // loadFromPeer takes the state of all streams from a ready host of this data
 // centre, for when the log cannot be read.
 func (s *Server) loadFromPeer(ctx context.Context) {
-	for _, r := range s.table.Alive() {
-		if r.DataCentre != s.cfg.DataCentre || !r.Ready {
+	for _, r := range s.neighbours() {
+		if !r.Ready {
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, stateTimeout)
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/balsamcove/balsamcove/internal/dialer"
 	"github.com/balsamcove/balsamcove/internal/forwarder"
+	"github.com/balsamcove/balsamcove/internal/listener"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 	"github.com/balsamcove/balsamcove/pkg/parser"
 	"github.com/balsamcove/balsamcove/pkg/refuser"
@@ -116,8 +117,7 @@
 // writeRefusal answers with a refusal and the HTTP status that fits it.
 func writeRefusal(c *app.RequestContext, err error) {
 	refusal := refuser.From(err)
-	c.Header(refuser.HeaderEffect, string(refusal.Effect))
-	c.JSON(statusOf(refusal.Code), refusal)
+	listener.WriteRefusal(c, statusOf(refusal.Code), refusal)
 }
 
 func statusOf(code refuser.Code) int {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -257,8 +257,8 @@
 	if !status.CaughtUp {
 		return false
 	}
-	for _, r := range s.table.Alive() {
-		if r.DataCentre == s.cfg.DataCentre && r.Version > status.Version {
+	for _, r := range s.neighbours() {
+		if r.Version > status.Version {
 			return false
 		}
 	}
