A host that wakes up does not take its peers for dead; registrations belong to one send

A host that was suspended for longer than the dead time counted the time it slept as silence of its peers. It then was the only home of an identity, while the others, which held it for dead, were another. Besides, a late deregistration of a send that had been given up removed the registration of another send of the same request. Ruled out: the messenger's connections closed after a timeout (suspected before). Change: silence counts only while the host's own loop runs; a registration names its send, and only that send gives it up. A lost answer to a registration may be repeated.

--- a/internal/deduper/deduper.go
+++ b/internal/deduper/deduper.go
@@ -12,9 +12,18 @@
 // Memory is how long an identity is remembered.
 const Memory = 10 * time.Minute
 
+// Send names one send of a request by a caller. Several sends of a request have
+// the same identity.
+type Send string
+
+// NewSend returns a name that no other send has.
+func NewSend() Send { return Send(identifier.NewName("send-")) }
+
+// noted is an identity with the send that registered it first.
 type noted struct {
-	id identifier.Request
-	at time.Time
+	id   identifier.Request
+	send Send
+	at   time.Time
 }
 
 // Deduper remembers identities for Memory. Its methods are safe for concurrent
@@ -27,37 +36,42 @@
 
 type shard struct {
 	mu   sync.Mutex
-	seen map[identifier.Request]time.Time
+	seen map[identifier.Request]noted
 	old  []noted
 }
 
 // New returns a deduper that remembers nothing.
 func New() *Deduper { return &Deduper{} }
 
-// Register remembers an identity and reports whether it is new.
-func (d *Deduper) Register(id identifier.Request) bool {
+// Register remembers an identity and reports whether it is new. The same send may
+// register again, which is as new as it was.
+func (d *Deduper) Register(id identifier.Request, send Send) bool {
 	s := d.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.expire(now)
-	if _, known := s.seen[id]; known {
-		return false
+	if first, known := s.seen[id]; known {
+		return first.send == send
 	}
 	if s.seen == nil {
-		s.seen = map[identifier.Request]time.Time{}
+		s.seen = map[identifier.Request]noted{}
 	}
-	s.seen[id] = now
-	s.old = append(s.old, noted{id, now})
+	n := noted{id, send, now}
+	s.seen[id] = n
+	s.old = append(s.old, n)
 	return true
 }
 
-// Deregister forgets the identity of a request that was certainly not executed.
-func (d *Deduper) Deregister(id identifier.Request) {
+// Deregister forgets the identity of a request that was certainly not executed by
+// this send. What another send has registered stays: it may be executing.
+func (d *Deduper) Deregister(id identifier.Request, send Send) {
 	s := d.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.seen, id)
+	if s.seen[id].send == send {
+		delete(s.seen, id)
+	}
 }
 
 // Known returns all remembered identities.
@@ -81,7 +95,7 @@
 
 func (s *shard) expire(now time.Time) {
 	for len(s.old) > 0 && now.Sub(s.old[0].at) > Memory {
-		if at, ok := s.seen[s.old[0].id]; ok && at.Equal(s.old[0].at) {
+		if s.seen[s.old[0].id] == s.old[0] {
 			delete(s.seen, s.old[0].id)
 		}
 		s.old = s.old[1:]
--- a/internal/heartbeater/table.go
+++ b/internal/heartbeater/table.go
@@ -51,6 +51,7 @@
 	Known   []Address `json:"known,omitempty"`
 }
 
+// member is another host. Its times are of Table.runTime.
 type member struct {
 	report  Report
 	firstAt time.Time
@@ -67,6 +68,10 @@
 	seq     uint64
 	members map[identifier.Entry]*member
 	known   map[string]knownAddress
+	// tickedAt is when Tick was last called; stalled is the time for which this
+	// host did not run, and could hear nobody, in all.
+	tickedAt time.Time
+	stalled  time.Duration
 }
 
 type knownAddress struct {
@@ -94,6 +99,35 @@
 	fn(&t.self)
 }
 
+// Tick says that this host runs. It has to be called every Interval: time for
+// which it was not called does not count as silence of the others, since a host
+// that was suspended could not hear them.
+func (t *Table) Tick() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if gap := now.Sub(t.tickedAt); !t.tickedAt.IsZero() && gap > t.stallLimit() {
+		t.stalled += gap - t.stallLimit()
+	}
+	t.tickedAt = now
+}
+
+// stallLimit is the time between two ticks from which this host did not run.
+func (t *Table) stallLimit() time.Duration { return stallTicks * t.times.Interval }
+
+// stallTicks is how many ticks may be late before a host counts as suspended; half
+// of the silence after which members are dead, at the default settings.
+const stallTicks = 2
+
+// runTime returns the present time less that for which this host did not run.
+func (t *Table) runTime() time.Time {
+	now := time.Now()
+	if limit := t.tickedAt.Add(t.stallLimit()); !t.tickedAt.IsZero() && now.After(limit) {
+		now = limit
+	}
+	return now.Add(-t.stalled)
+}
+
 // Beat returns the heartbeat for a peer of a data centre. Peers elsewhere get
 // the reports of all members of this one.
 func (t *Table) Beat(to identifier.DataCentre) Beat {
@@ -123,7 +157,7 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	for _, r := range b.Reports {
-		t.receiveReport(r, now)
+		t.receiveReport(r, t.runTime(), now)
 	}
 	for _, a := range b.Known {
 		if _, ok := t.known[a.Address]; !ok && a.Address != t.self.Address {
@@ -132,7 +166,7 @@
 	}
 }
 
-func (t *Table) receiveReport(r Report, now time.Time) {
+func (t *Table) receiveReport(r Report, heardAt, now time.Time) {
 	if r.Entry == t.self.Entry || r.Address == t.self.Address {
 		return
 	}
@@ -140,12 +174,12 @@
 	switch {
 	case !ok || r.StartedMs > m.report.StartedMs:
 		t.dropAddress(r)
-		t.members[r.Entry] = &member{report: r, firstAt: now, heardAt: now}
+		t.members[r.Entry] = &member{report: r, firstAt: heardAt, heardAt: heardAt}
 	case r.Incarnation == m.report.Incarnation && r.Seq > m.report.Seq:
 		if !t.alive(m) {
-			m.firstAt = now
+			m.firstAt = heardAt
 		}
-		m.report, m.heardAt = r, now
+		m.report, m.heardAt = r, heardAt
 	default:
 		return
 	}
@@ -167,7 +201,7 @@
 	if m.report.DataCentre != t.self.DataCentre {
 		limit *= remoteFactor
 	}
-	return time.Since(m.heardAt) < limit
+	return t.runTime().Sub(m.heardAt) < limit
 }
 
 // remoteFactor is how much rarer heartbeats between data centres are.
@@ -198,7 +232,7 @@
 	}
 	for id, m := range t.members {
 		local := m.report.DataCentre == t.self.DataCentre
-		if local && m.report.Ready && !m.report.Leaving && t.alive(m) && time.Since(m.firstAt) >= t.times.Settle {
+		if local && m.report.Ready && !m.report.Leaving && t.alive(m) && t.runTime().Sub(m.firstAt) >= t.times.Settle {
 			out = append(out, id)
 		}
 	}
--- a/internal/heartbeater/table_test.go
+++ b/internal/heartbeater/table_test.go
@@ -71,6 +71,31 @@
 	})
 }
 
+// TestSuspendedHost checks that a host which was suspended does not take its peers
+// for dead before it could hear them.
+func TestSuspendedHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable(report(0, "a", 1, 0), testTimes, nil)
+		table.Tick()
+		table.Receive(Beat{Reports: []Report{report(1, "a", 1, 1)}})
+		time.Sleep(10 * testTimes.Dead)
+		if got := names(table); !slices.Equal(got, []string{"e1"}) {
+			t.Errorf("alive %v right after the suspension, want e1", got)
+		}
+		table.Tick()
+		if got := names(table); !slices.Equal(got, []string{"e1"}) {
+			t.Errorf("alive %v after the first tick, want e1", got)
+		}
+		for range testTimes.Dead / testTimes.Interval {
+			time.Sleep(testTimes.Interval)
+			table.Tick()
+		}
+		if got := names(table); len(got) > 0 {
+			t.Errorf("alive %v after a silence that was listened to, want none", got)
+		}
+	})
+}
+
 // BenchmarkBeatBytes reports the size of a heartbeat to another data centre,
 // which carries the reports of all members of this one.
 func BenchmarkBeatBytes(b *testing.B) {
--- a/internal/server/home.go
+++ b/internal/server/home.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/deduper"
 	"github.com/balsamcove/balsamcove/internal/messenger"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 	"github.com/balsamcove/balsamcove/pkg/parser"
@@ -30,11 +31,20 @@
 	memoryTimeout  = 5 * time.Second
 )
 
+// registration is one send of a non-idempotent request, as hosts tell each other.
+type registration struct {
+	ID   identifier.Request `json:"id"`
+	Send deduper.Send       `json:"send"`
+}
+
+// pulledFromPeer stands for the send of identities that a peer remembers.
+const pulledFromPeer deduper.Send = "peer"
+
 // register remembers the identity of a non-idempotent request at its home, the
 // entry hosts of a data centre that its hash chooses. A copy whose process is
 // gone is passed over, one that does not answer is not. The error is a refusal.
-func (s *Server) register(ctx context.Context, id identifier.Request) ([]string, error) {
-	homes, err := s.homesOf(id)
+func (s *Server) register(ctx context.Context, r registration) ([]string, error) {
+	homes, err := s.homesOf(r.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -42,22 +52,22 @@
 	defer cancel()
 	var kept []string
 	for _, address := range homes {
-		fresh, err := s.registerAt(ctx, address, id)
+		fresh, err := s.registerAt(ctx, address, r)
 		switch {
 		case err != nil && errors.Is(err, syscall.ECONNREFUSED):
 			continue
 		case err != nil:
-			s.deregister(append(kept, address), id)
-			return nil, homeUnreachable(id)
+			s.deregister(append(kept, address), r)
+			return nil, homeUnreachable(r.ID)
 		case !fresh:
-			r := refuser.NewUnknown(refuser.CodeDuplicate, "request %q was sent before", id)
-			r.ID = string(id)
-			return nil, r
+			refusal := refuser.NewUnknown(refuser.CodeDuplicate, "request %q was sent before", r.ID)
+			refusal.ID = string(r.ID)
+			return nil, refusal
 		}
 		kept = append(kept, address)
 	}
 	if len(kept) == 0 {
-		return nil, homeUnreachable(id)
+		return nil, homeUnreachable(r.ID)
 	}
 	return kept, nil
 }
@@ -67,16 +77,15 @@
 }
 
 // registerAt registers at one host. A connection that broke is tried once more,
-// to learn whether the host is gone; the host may then know the request from
-// the first try, which counts as sent before.
-func (s *Server) registerAt(ctx context.Context, address string, id identifier.Request) (bool, error) {
+// to learn whether the host is gone.
+func (s *Server) registerAt(ctx context.Context, address string, r registration) (bool, error) {
 	if address == s.cfg.Listen.Peers {
-		return s.deduper.Register(id), nil
+		return s.deduper.Register(r.ID, r.Send), nil
 	}
 	var fresh bool
-	err := s.client.Call(ctx, address, messenger.MethodRegister, id, &fresh)
+	err := s.client.Call(ctx, address, messenger.MethodRegister, r, &fresh)
 	if err != nil && errors.Is(err, connector.ErrUnknown) && ctx.Err() == nil {
-		err = s.client.Call(ctx, address, messenger.MethodRegister, id, &fresh)
+		err = s.client.Call(ctx, address, messenger.MethodRegister, r, &fresh)
 	}
 	return fresh, err
 }
@@ -110,23 +119,23 @@
 		return false
 	}
 	for _, id := range known {
-		s.deduper.Register(id)
+		s.deduper.Register(id, pulledFromPeer)
 	}
 	return true
 }
 
 // deregister forgets a request that was certainly not executed.
-func (s *Server) deregister(homes []string, id identifier.Request) {
+func (s *Server) deregister(homes []string, r registration) {
 	ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
 	defer cancel()
 	for _, address := range homes {
 		if address == s.cfg.Listen.Peers {
-			s.deduper.Deregister(id)
+			s.deduper.Deregister(r.ID, r.Send)
 			continue
 		}
 		var done bool
-		if err := s.client.Call(ctx, address, messenger.MethodDeregister, id, &done); err != nil {
-			s.logger.Debug("request stays registered", zap.String("request", string(id)), zap.Error(err))
+		if err := s.client.Call(ctx, address, messenger.MethodDeregister, r, &done); err != nil {
+			s.logger.Debug("request stays registered", zap.String("request", string(r.ID)), zap.Error(err))
 		}
 	}
 }
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -35,10 +35,10 @@
 	case messenger.MethodForward:
 		return answer(params, func(req forwarder.Request) (forwarder.Answer, error) { return s.serveForwarded(ctx, req) })
 	case messenger.MethodRegister:
-		return answer(params, func(id identifier.Request) (bool, error) { return s.deduper.Register(id), nil })
+		return answer(params, func(r registration) (bool, error) { return s.deduper.Register(r.ID, r.Send), nil })
 	case messenger.MethodDeregister:
-		return answer(params, func(id identifier.Request) (bool, error) {
-			s.deduper.Deregister(id)
+		return answer(params, func(r registration) (bool, error) {
+			s.deduper.Deregister(r.ID, r.Send)
 			return true, nil
 		})
 	case messenger.MethodMemory:
@@ -95,6 +95,7 @@
 	ticker := time.NewTicker(s.cfg.Members.Interval.Std())
 	defer ticker.Stop()
 	for n := 0; ; n++ {
+		s.table.Tick()
 		free, inFlight := s.router.Report()
 		ready, version := s.ready(), s.coord.Status().Version
 		s.table.SetSelf(func(r *heartbeater.Report) {
--- a/internal/server/process_test.go
+++ b/internal/server/process_test.go
@@ -364,6 +364,13 @@
 	for i := range ready {
 		order = append(order, ready[(n+i)%len(ready)].callers)
 	}
+	b.group.Add(1)
+	b.sendTo(order, r)
+}
+
+// sendTo sends a request to the first of the addresses that takes it.
+func (b *balancer) sendTo(order []string, r told) {
+	defer b.group.Done()
 	cl, err := client.New(order)
 	if err != nil {
 		b.s.t.Error(err)
@@ -473,6 +480,26 @@
 	}
 }
 
+// TestHostThatWakesUp sends requests to a frozen host and, once the others hold it
+// for dead, the same requests through them. The frozen host must not take the
+// silence of its own sleep for their death.
+func TestHostThatWakesUp(t *testing.T) {
+	s := newSite(t, 2, 3, 10*time.Millisecond)
+	b := s.newBalancer()
+	frozen, awake := s.current()[0], s.current()[1]
+	s.signal(frozen, syscall.SIGSTOP)
+	time.Sleep(1300 * time.Millisecond)
+	for i := range 40 {
+		r := told{id: fmt.Sprintf("wake-%d", i)}
+		b.group.Add(2)
+		go b.sendTo([]string{awake.callers}, r)
+		go b.sendTo([]string{frozen.callers}, r)
+	}
+	time.Sleep(300 * time.Millisecond)
+	s.signal(frozen, syscall.SIGCONT)
+	b.finish()
+}
+
 func TestLeavingMinionGetsNoNewWork(t *testing.T) {
 	const limit = 5 * time.Second
 	tests := map[string]func(s *site, m *emulator.Minion){
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -8,6 +8,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
+	"github.com/balsamcove/balsamcove/internal/deduper"
 	"github.com/balsamcove/balsamcove/internal/dialer"
 	"github.com/balsamcove/balsamcove/internal/forwarder"
 	"github.com/balsamcove/balsamcove/internal/listener"
@@ -73,13 +74,14 @@
 	if req.Idempotent {
 		return s.forwarder.Do(ctx, req, false)
 	}
-	homes, err := s.register(ctx, req.ID)
+	registered := registration{ID: req.ID, Send: deduper.NewSend()}
+	homes, err := s.register(ctx, registered)
 	if err != nil {
 		return forwarder.Answer{}, err
 	}
 	answer, err := s.forwarder.Do(ctx, req, false)
 	if err != nil && refuser.From(err).Effect == refuser.NotRun {
-		s.deregister(homes, req.ID)
+		s.deregister(homes, registered)
 	}
 	return answer, err
 }
