Explain tails by slack and pressure, pace scavengers, keep serving images apart

A fit of 7,500 looks shows why the noisy-or judged pairs slowly: the inverse of a tail falls linearly with what runs beside it, like that of a queue, from a level that all tasks of a step share and that moves with their users. Without that level a peak looks like harm. Change: estimator.Baseline, estimator.Slack and Pressure; paces before evictions; looks every 0.4 s where both are; serving images kept on workers of their own.

--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -1,5 +1,5 @@
 // Package estimator learns which scavengers lengthen the tail latency of which
-// tasks that serve, by the images of both.
+// tasks that serve, by the images of both, and how long tails are without them.
 package estimator
 
 import (
@@ -9,137 +9,164 @@
 )
 
 const (
-	// priorHarm is the probability, before anything was seen, that a scavenger
-	// harms a serving image: on the users' sites 1 to 4 of 9 do.
-	priorHarm = 0.25
-	// priorWeight is how many judged pairs of a scavenger weigh as much as that.
-	priorWeight = 2.0
-	// showsHarm is the probability that a harmful scavenger shows in an observed
-	// tail; its effect comes and goes within seconds.
-	showsHarm = 0.35
-	// noise is the probability of a long tail without a harmful scavenger.
-	noise = 0.04
-	// leastHarm and mostHarm bound the probabilities, so that a wrong one can
-	// still be corrected.
-	leastHarm = 0.01
-	mostHarm  = 0.97
-	// longTail and shortTail, in parts of the target, tell observations for and
-	// against harm; those between say nothing.
-	longTail  = 2.5
-	shortTail = 0.8
+	// PriorPressure is the pressure that is assumed before anything was seen:
+	// between that of most pairs (0 to 1.5) and of the harmful ones (5 to 25) on the
+	// users' sites.
+	PriorPressure = 2.5
+	// knownAfter is how many observations make a pair known. The first ones may blame
+	// a scavenger for what another one beside it did.
+	knownAfter = 6
+	// firstSeen is how many observations move an estimate most.
+	firstSeen = 2
+	// gain is the part of a surprise by which an observation moves the estimates;
+	// gainAlarm is that of a loss of slack which is greater than expected by alarm.
+	gain      = 0.25
+	gainAlarm = 0.6
+	alarm     = 0.4
+	// gainFirst replaces gain for the first observations of a pair.
+	gainFirst = 0.8
+	// mostPressure bounds an estimate.
+	mostPressure = 40.0
+	// roughness is the error of an observed slack, as a part of it, at the usual
+	// pressure of a harmful pair: what it says of weak scavengers counts less.
+	roughness = 0.04 / 4
+	// leastUse is the share of a worker from which a scavenger can be judged.
+	leastUse = 0.02
 	// judgePause is the least time between two observations of a pair that are
-	// taken into account: harm comes and goes within seconds, so that those in
-	// quick succession are one. The first counts, whatever it says.
+	// taken into account, since reported tails cover half a second.
 	judgePause = 250 * time.Millisecond
 )
 
+// Slack is the target of a tail divided by the tail: below 1 the tail is too long.
+// As with the waiting time of a queue, whose inverse falls linearly with the load,
+// each scavenger takes a fixed amount of slack, however much there is.
+type Slack float64
+
+// SlackOf returns the slack of a tail.
+func SlackOf(target, tail time.Duration) Slack { return Slack(target) / Slack(max(tail, 1)) }
+
+// Pressure is the slack that a scavenger takes for each whole worker that it uses:
+// at a pressure of 5 a scavenger on a tenth of a worker takes 0.5.
+type Pressure float64
+
+// Load is the use of a worker's processors by scavengers of each image, as shares
+// of the whole.
+type Load map[identifier.Image]float64
+
 // pair is a task that serves and a scavenger beside it.
 type pair struct{ serving, scavenger identifier.Image }
 
-// Estimator learns which scavengers lengthen the tail of which tasks that
-// serve, by their images. Each pair either does harm or not; an observed tail
-// changes the probabilities of all scavengers that were beside the task by
-// Bayes' rule, as a noisy-or of independent causes (Pearl, Probabilistic
-// Reasoning in Intelligent Systems, 1988).
-type Estimator struct {
-	harm   map[pair]float64
-	judged map[pair]time.Time
+// estimate is what is believed of a pair.
+type estimate struct {
+	pressure Pressure
+	seen     int
+	judged   time.Time
 }
 
+// uncertainty weighs how much of a surprise is put down to a pair.
+func (e estimate) uncertainty() float64 { return 1 / float64(1+min(e.seen, mostSeen)) }
+
+// mostSeen bounds how certain an estimate becomes.
+const mostSeen = 3
+
+// Estimator learns the pressures of pairs of images. An observed slack is explained
+// as the slack without scavengers less the sum of pressure times use; what is left
+// over moves the estimates of those beside it, as a normalised least mean squares
+// filter (Widrow and Hoff, Adaptive Switching Circuits, 1960) whose steps are
+// weighed by uncertainty and larger upwards than downwards.
+type Estimator struct{ pairs map[pair]estimate }
+
 // New returns an estimator that knows nothing yet.
-func New() *Estimator {
-	return &Estimator{map[pair]float64{}, map[pair]time.Time{}}
-}
+func New() *Estimator { return &Estimator{map[pair]estimate{}} }
 
-// Harm returns how likely a scavenger harms a serving image.
-func (e *Estimator) Harm(serving, scavenger identifier.Image) float64 {
-	if p, ok := e.harm[pair{serving, scavenger}]; ok {
-		return p
+// Pressure returns what a scavenger is expected to do to a serving image.
+func (e *Estimator) Pressure(serving, scavenger identifier.Image) Pressure {
+	if known, ok := e.pairs[pair{serving, scavenger}]; ok {
+		return known.pressure
 	}
-	return e.prior(scavenger)
+	return PriorPressure
 }
 
-// prior returns the probability that is assumed of a pair which was not judged
-// yet: a scavenger that harms one serving image often harms others.
-func (e *Estimator) prior(scavenger identifier.Image) float64 {
-	sum, n := priorWeight*priorHarm, priorWeight
-	for pair, p := range e.harm {
-		if pair.scavenger == scavenger {
-			sum += p
-			n++
-		}
-	}
-	return sum / n
+// Known reports whether a pair has been observed often enough to be trusted.
+func (e *Estimator) Known(serving, scavenger identifier.Image) bool {
+	return e.pairs[pair{serving, scavenger}].seen >= knownAfter
 }
 
-// Learn takes the tail of a serving image, in parts of its target, into account
-// for the scavengers beside it.
-func (e *Estimator) Learn(now time.Time, serving identifier.Image, tail float64, l Load) {
-	switch {
-	case tail >= longTail:
-		e.accuse(now, serving, l)
-	case tail <= shortTail:
-		e.acquit(now, serving, l)
+// Loss returns the slack that a load is expected to take from a serving image.
+func (e *Estimator) Loss(serving identifier.Image, l Load) Slack {
+	sum := Slack(0)
+	for image, use := range l {
+		sum += Slack(float64(e.Pressure(serving, image)) * use)
 	}
+	return sum
 }
 
-func (e *Estimator) accuse(now time.Time, serving identifier.Image, l Load) {
-	unharmed := 1 - noise
-	for image := range l {
-		unharmed *= 1 - showsHarm*e.Harm(serving, image)
+// Learn takes into account the slack that was observed of a serving image beside a
+// load, and that it would have had without it.
+func (e *Estimator) Learn(now time.Time, serving identifier.Image, without, observed Slack, l Load) {
+	surprise := float64(without - observed - e.Loss(serving, l))
+	rough := roughness * float64(without)
+	weights := rough * rough
+	for image, use := range l {
+		weights += e.of(serving, image).uncertainty() * use * use
 	}
-	for image := range l {
-		if !e.due(now, pair{serving, image}) {
+	next := make(map[pair]estimate, len(l))
+	for image, use := range l {
+		known := e.of(serving, image)
+		if use < leastUse || now.Sub(known.judged) < judgePause {
 			continue
 		}
-		p := e.Harm(serving, image)
-		withoutIt := unharmed / (1 - showsHarm*p)
-		e.Set(serving, image, p*(1-withoutIt*(1-showsHarm))/(1-unharmed))
+		step := gainOf(surprise, known) * known.uncertainty() * use * surprise / weights
+		known.pressure = min(max(known.pressure+Pressure(step), 0), mostPressure)
+		known.judged = now
+		known.seen++
+		next[pair{serving, image}] = known
+	}
+	for pair, known := range next {
+		e.pairs[pair] = known
 	}
 }
 
-func (e *Estimator) acquit(now time.Time, serving identifier.Image, l Load) {
-	for image := range l {
-		if !e.due(now, pair{serving, image}) {
-			continue
-		}
-		p := e.Harm(serving, image)
-		e.Set(serving, image, p*(1-showsHarm)/(1-showsHarm*p))
+// gainOf returns the part of a surprise by which an estimate moves.
+func gainOf(surprise float64, known estimate) float64 {
+	switch {
+	case known.seen < firstSeen:
+		return gainFirst
+	case surprise > alarm:
+		return gainAlarm
+	default:
+		return gain
 	}
 }
 
-// due reports whether a pair may be judged again, and notes that it is.
-func (e *Estimator) due(now time.Time, pair pair) bool {
-	if now.Sub(e.judged[pair]) < judgePause {
-		return false
+func (e *Estimator) of(serving, scavenger identifier.Image) estimate {
+	if known, ok := e.pairs[pair{serving, scavenger}]; ok {
+		return known
 	}
-	e.judged[pair] = now
-	return true
+	return estimate{pressure: PriorPressure}
 }
 
-// Set replaces the probability that a scavenger harms a serving image; it is kept
-// within bounds in which observations can still change it.
-func (e *Estimator) Set(serving, scavenger identifier.Image, p float64) {
-	e.harm[pair{serving, scavenger}] = min(max(p, leastHarm), mostHarm)
+// Set replaces what is believed of a pair, which is then known.
+func (e *Estimator) Set(serving, scavenger identifier.Image, p Pressure) {
+	e.pairs[pair{serving, scavenger}] = estimate{pressure: min(max(p, 0), mostPressure), seen: knownAfter}
 }
 
-// Load is the use of a worker's processors by scavengers of each image, as shares
-// of the whole.
-type Load map[identifier.Image]float64
-
 // Record is a learned estimate as it is stored for the next holder.
 type Record struct {
 	_         struct{} `cbor:",toarray"`
 	Serving   identifier.Image
 	Scavenger identifier.Image
-	Harm      float64
+	Pressure  float64
+	Seen      int
 }
 
 // Records returns the estimates as they are stored.
 func (e *Estimator) Records() []Record {
-	out := make([]Record, 0, len(e.harm))
-	for pair, harm := range e.harm {
-		out = append(out, Record{Serving: pair.serving, Scavenger: pair.scavenger, Harm: harm})
+	out := make([]Record, 0, len(e.pairs))
+	for pair, known := range e.pairs {
+		out = append(out, Record{
+			Serving: pair.serving, Scavenger: pair.scavenger, Pressure: float64(known.pressure), Seen: known.seen,
+		})
 	}
 	return out
 }
@@ -147,15 +174,15 @@
 // Restore takes over the estimates of an earlier holder.
 func (e *Estimator) Restore(records []Record) {
 	for _, r := range records {
-		e.harm[pair{r.Serving, r.Scavenger}] = r.Harm
+		e.pairs[pair{r.Serving, r.Scavenger}] = estimate{pressure: Pressure(r.Pressure), seen: r.Seen}
 	}
 }
 
-// Above returns how many pairs have a probability of harm above a bound.
-func (e *Estimator) Above(bound float64) int {
+// Above returns how many pairs have a pressure above a bound.
+func (e *Estimator) Above(bound Pressure) int {
 	n := 0
-	for _, p := range e.harm {
-		if p > bound {
+	for _, known := range e.pairs {
+		if known.pressure > bound {
 			n++
 		}
 	}
--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -23,9 +23,6 @@
 	return r
 }
 
-// fullPace is the pace of a run that nobody slowed down, in percent.
-const fullPace = 100
-
 // unclaim takes back a claim that was not yet sent to its worker.
 func (p *Planner) unclaim(r *run) {
 	p.forgetRun(r)
--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/balsamcove/balsamcove/internal/estimator"
@@ -9,42 +11,28 @@
 )
 
 const (
-	// activeShare is the use of a worker's processors from which a scavenger can
-	// be judged.
-	activeShare = 0.02
-	// observePause is the least time between two observations of a worker, since
-	// a tail covers the last half second.
-	observePause = 500 * time.Millisecond
-	// maxExplorers bounds the scavengers of a pair of unclear harm on a worker.
-	maxExplorers = 3
 	// tailLag is how long a scavenger that has ended still shows in tails.
 	tailLag = 600 * time.Millisecond
-	// tolerated is the probability of harm up to which a scavenger is placed
-	// beside a task that serves. Up to explored it is, where no other worker has
-	// the same pair, so that the pair is learned at little cost.
-	tolerated = 0.1
-	explored  = 0.35
-	// patience is how long a scavenger waits for such a place before
-	// toleratedLate holds, and lastPatience before any place does.
-	patience      = 4 * time.Second
-	toleratedLate = 0.3
-	lastPatience  = 20 * time.Second
-	// evictTail is the observed tail, in parts of the target, from which
-	// scavengers are evicted.
-	evictTail = 1.0
-	// calmTail is the observed tail below which a worker no longer counts as one
-	// whose tails are too long; observations are rough.
-	calmTail = 0.85
-	// evictHarm is the probability of harm of a scavenger that is evicted.
-	evictHarm = 0.4
-	// evictPause is how long an eviction is given to show in the tail.
-	evictPause = 700 * time.Millisecond
-	// longSuffering is how long a tail may stay above its target before every
-	// scavenger beside it is evicted; a stop and the lag of reports take about
-	// 1.5 s more, and a tail that stays too long for 4 s counts as harm.
-	longSuffering = 1600 * time.Millisecond
-	// quietTime is how long no scavenger is placed on a worker afterwards.
-	quietTime = 1500 * time.Millisecond
+	// usualSlack is assumed of a task that serves before it was observed.
+	usualSlack estimator.Slack = 2
+	// placeSlack is the expected slack from which a scavenger is placed beside a task
+	// that serves. The load of a service may take 0.5 of slack within a second.
+	placeSlack estimator.Slack = 1.35
+	// roughSlack is by how much a single observed slack may be too low.
+	roughSlack estimator.Slack = 0.25
+	// caution multiplies expected losses: pressures vary by half within seconds.
+	caution = 1.25
+	// patience is how long a scavenger waits for such a place before lateSlack
+	// holds, and lastPatience before any place does.
+	patience                     = 4 * time.Second
+	lateSlack    estimator.Slack = 1.1
+	lastPatience                 = 20 * time.Second
+	// harmfulPressure is the pressure from which a pair counts as harmful in
+	// reports: a scavenger on a tenth of a worker takes 0.4 of slack.
+	harmfulPressure = 4
+	// mildLoss is the expected loss of slack up to which a tail still tells how long
+	// it would be without scavengers.
+	mildLoss estimator.Slack = 0.4
 )
 
 // imagePair is a task that serves and a scavenger beside it.
@@ -63,9 +51,9 @@
 	return l
 }
 
-// addUse adds a scavenger that uses enough to be judged.
+// addUse adds a scavenger that was at work.
 func addUse(l estimator.Load, image identifier.Image, used float64) {
-	if used >= activeShare {
+	if used > 0 {
 		l[image] += used
 	}
 }
@@ -136,177 +124,201 @@
 	return n
 }
 
-// harms is what a scavenger is expected to do to each serving image.
-type harms struct {
-	byServing map[identifier.Image]float64
-	// mean is how much the scavenger needs workers without tasks that serve.
-	mean float64
+// baseSlack returns the slack of a serving image on a worker without scavengers,
+// as the last look at the worker told.
+func (w *worker) baseSlack(serving identifier.Image) estimator.Slack {
+	if slack, ok := w.baseSlacks[serving]; ok {
+		return slack
+	}
+	return usualSlack
 }
 
-// harmsOf returns the probabilities that a scavenger harms the images that serve
-// now.
-func (p *Planner) harmsOf(scavenger identifier.Image) harms {
-	h := harms{byServing: make(map[identifier.Image]float64, len(p.servingImages))}
-	for serving := range p.servingImages {
-		probability := p.harm.Harm(serving, scavenger)
-		h.byServing[serving] = probability
-		h.mean += probability / float64(len(p.servingImages))
+// expectedSlack returns the least slack that is expected on a worker if a scavenger
+// of an image joins with a share of its processors.
+func (p *Planner) expectedSlack(w *worker, scavenger identifier.Image, use float64) estimator.Slack {
+	least := ampleSlack
+	for serving := range w.servingBy {
+		loss := p.harm.Loss(serving, w.scavengerShares) + estimator.Slack(use*float64(p.supposed(serving, scavenger)))
+		least = min(least, w.baseSlack(serving)-caution*loss)
 	}
-	return h
+	return least
 }
 
-// at returns the probability that the scavenger harms a task that serves on a
-// worker.
-func (h harms) at(w *worker) float64 {
-	worst := 0.0
-	for serving := range w.servingBy {
-		worst = max(worst, h.byServing[serving])
+// supposed returns the pressure of a pair for the choice of a place. One that is not
+// known gets the benefit of the doubt, so that it becomes known.
+func (p *Planner) supposed(serving, scavenger identifier.Image) estimator.Pressure {
+	pressure := p.harm.Pressure(serving, scavenger)
+	if p.harm.Known(serving, scavenger) {
+		return pressure
 	}
-	return worst
+	return min(pressure, estimator.PriorPressure)
 }
 
-// tolerates reports whether a scavenger that has waited may be placed on a
-// worker.
-func (p *Planner) tolerates(w *worker, scavenger identifier.Image, h harms, waited time.Duration) bool {
+// ampleSlack is that of a worker without tasks that serve.
+const ampleSlack estimator.Slack = 4
+
+// tolerates reports whether a scavenger that has waited may be placed on a worker
+// beside tasks that serve.
+func (p *Planner) tolerates(w *worker, step *submitter.Step, waited time.Duration) bool {
 	if w.serving == 0 {
 		return true
 	}
-	if p.now.Before(w.quietUntil) || w.tail >= evictTail {
+	if p.now.Before(w.quietUntil) || w.slack < evictSlack {
 		return false
 	}
-	harm := h.at(w)
+	slack := p.expectedSlack(w, step.Image, share(step.Size.Processors, w.entry.Capacity.Processors))
 	switch {
-	case harm <= tolerated:
-		return true
-	case harm <= explored && p.explores(w, scavenger, h):
-		return true
 	case waited < patience:
-		return false
+		return slack >= placeSlack && p.explores(w, step.Image) && !p.harmsOn(w, step.Image)
 	case waited < lastPatience:
-		return harm <= toleratedLate
+		return slack >= lateSlack
 	default:
 		return true
 	}
 }
 
-// explores reports whether placing a scavenger on a worker makes no pair of
-// unclear harm stand on a second worker.
-func (p *Planner) explores(w *worker, scavenger identifier.Image, h harms) bool {
-	if w.scavengersBy[scavenger] >= maxExplorers {
-		return false
-	}
+// harmsOn reports whether a scavenger is known to harm an image that serves on a
+// worker.
+func (p *Planner) harmsOn(w *worker, scavenger identifier.Image) bool {
 	for serving := range w.servingBy {
-		pair := imagePair{serving, scavenger}
-		here := 0
-		if w.scavengersBy[scavenger] > 0 {
-			here = 1
+		if p.harm.Known(serving, scavenger) && p.harm.Pressure(serving, scavenger) >= harmfulPressure {
+			return true
 		}
-		if h.byServing[serving] > tolerated && p.neighbours[pair] > here {
+	}
+	return false
+}
+
+// explores reports whether a scavenger makes no pair that is not known stand in a
+// second place: what one place tells is enough.
+func (p *Planner) explores(w *worker, scavenger identifier.Image) bool {
+	for serving := range w.servingBy {
+		if !p.harm.Known(serving, scavenger) && p.neighbours[imagePair{serving, scavenger}] > 0 {
 			return false
 		}
 	}
 	return true
 }
 
-// disturbance returns the probability that a scavenger on a worker harms a
-// serving image.
-func (p *Planner) disturbance(w *worker, serving identifier.Image) float64 {
-	worst := 0.0
-	for scavenger := range w.scavengersBy {
-		worst = max(worst, p.harm.Harm(serving, scavenger))
+// needOfQuiet returns, from 0 to 1, how much a scavenger needs workers without
+// tasks that serve: the mean of its pressures on the images that serve now.
+func (p *Planner) needOfQuiet(scavenger identifier.Image) float64 {
+	if len(p.servingImages) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for serving := range p.servingImages {
+		sum += min(float64(p.harm.Pressure(serving, scavenger))/(2*harmfulPressure), 1)
 	}
-	return worst
+	return sum / float64(len(p.servingImages))
 }
 
-// observeTails learns from the tails on a worker and evicts the scavenger that
-// most likely causes one that is too long.
+// disturbance returns the slack that the scavengers on a worker are expected to take
+// from a serving image, up to 1.
+func (p *Planner) disturbance(w *worker, serving identifier.Image) float64 {
+	return min(float64(p.harm.Loss(serving, w.scavengerShares)), 1)
+}
+
+// observeTails learns from the tails on a worker, and keeps them below their
+// targets.
 func (p *Planner) observeTails(w *worker) {
 	if w.serving == 0 {
+		w.slack = ampleSlack
+		p.letGo(w)
 		return
 	}
-	learn := p.now.Sub(w.observedAt) >= observePause
-	if learn {
-		w.observedAt = p.now
-	}
-	l := w.scavengerLoad(p.now)
-	worst, suffering := 0.0, identifier.Image("")
-	for image, tail := range w.tails() {
-		if learn {
-			p.harm.Learn(p.now, image, tail, l)
+	load := w.scavengerLoad(p.now)
+	p.observeBaselines(w, load)
+	p.learnPressures(w, load)
+	p.regulate(w)
+}
+
+// observeBaselines notes the tails that scavengers do not lengthen, or so little
+// that the expectation corrects it.
+func (p *Planner) observeBaselines(w *worker, load estimator.Load) {
+	w.slack = ampleSlack
+	w.baseSlacks = map[identifier.Image]estimator.Slack{}
+	for _, r := range w.runs {
+		if !r.showsTail() {
+			continue
 		}
-		if tail > worst {
-			worst, suffering = tail, image
+		g := r.task.group
+		w.slack = min(w.slack, r.slack())
+		own := r.slack() + p.harm.Loss(g.step.Image, load)
+		if p.isMild(g.step.Image, load) {
+			g.baseline.Observe(p.now, r.task.index, own)
 		}
+		if base, _, ok := g.baseline.Slack(p.now); ok {
+			own = min(own+roughSlack, base)
+		}
+		w.baseSlacks[g.step.Image] = min(own, w.knownSlack(g.step.Image))
 	}
-	w.tail = worst
-	p.relieve(w, suffering, worst)
 }
 
-// relieve evicts scavengers from a worker with a tail that is too long.
-func (p *Planner) relieve(w *worker, suffering identifier.Image, tail float64) {
-	if tail < calmTail {
-		w.sufferingSince = time.Time{}
-	}
-	if tail < evictTail {
-		return
-	}
-	if w.sufferingSince.IsZero() {
-		w.sufferingSince = p.now
-	}
-	if p.now.Sub(w.sufferingSince) > longSuffering {
-		p.evictScavengers(w, suffering, tail)
-		return
-	}
-	if p.now.Before(w.nextEviction) {
-		return
-	}
-	if r := p.likelyCause(w, suffering); r != nil {
-		p.log.RunEvicted(r.id, w.id, suffering, tail)
-		w.nextEviction = p.now.Add(evictPause)
-		p.evict(r)
+// knownSlack returns the slack of a serving image that this look has told so far.
+func (w *worker) knownSlack(serving identifier.Image) estimator.Slack {
+	if slack, ok := w.baseSlacks[serving]; ok {
+		return slack
 	}
+	return ampleSlack
 }
 
-// evictScavengers evicts every scavenger from a worker whose tails stay too
-// long, whatever harm is expected of them, and lets none in for a while.
-func (p *Planner) evictScavengers(w *worker, suffering identifier.Image, tail float64) {
-	w.sufferingSince = time.Time{}
-	w.quietUntil = p.now.Add(quietTime)
-	for _, r := range w.runs {
-		if r.phase == runActive && r.task.group.step.Scavenger && !r.unwanted {
-			p.log.RunEvicted(r.id, w.id, suffering, tail)
-			p.evict(r)
-		}
-	}
+// showsTail reports whether a run serves and its tail is known.
+func (r *run) showsTail() bool {
+	return r.phase == runActive && r.task.group.step.Serves() && r.percent >= atWork && r.tail > 0
 }
 
-// tails returns the longest tail of each serving image on a worker, in parts of
-// its target.
-func (w *worker) tails() map[identifier.Image]float64 {
-	tails := map[identifier.Image]float64{}
-	for _, r := range w.runs {
-		step := r.task.group.step
-		if r.phase == runActive && step.Serves() && r.tail > 0 {
-			tails[step.Image] = max(tails[step.Image], float64(r.tail)/float64(step.TailTarget.Std()))
+// slack returns that of a run which shows its tail.
+func (r *run) slack() estimator.Slack {
+	return estimator.SlackOf(r.task.group.step.TailTarget.Std(), r.tail)
+}
+
+// isMild reports whether a load takes little slack from a serving image, and how
+// much is known.
+func (p *Planner) isMild(serving identifier.Image, load estimator.Load) bool {
+	for scavenger := range load {
+		if !p.harm.Known(serving, scavenger) {
+			return false
 		}
 	}
-	return tails
+	return p.harm.Loss(serving, load) <= mildLoss
 }
 
-// likelyCause returns the scavenger that most likely harms a serving image, or
-// nil if none is likely to.
-func (p *Planner) likelyCause(w *worker, serving identifier.Image) *run {
-	var worst *run
-	most := 0.0
+// slackPair is the slack of a task that serves without scavengers and with them.
+type slackPair struct{ without, observed estimator.Slack }
+
+// learnPressures compares the tails on a worker with those without scavengers. The
+// lower median of the loss over the tasks of an image leaves out those that are
+// long by chance.
+func (p *Planner) learnPressures(w *worker, load estimator.Load) {
+	if len(load) == 0 {
+		return
+	}
+	seen := map[identifier.Image][]slackPair{}
 	for _, r := range w.runs {
-		step := r.task.group.step
-		if r.phase != runActive || !step.Scavenger || r.unwanted {
+		if !r.showsTail() {
 			continue
 		}
-		harm := p.harm.Harm(serving, step.Image)
-		if weight := harm * share(r.used, w.entry.Capacity.Processors); harm >= evictHarm && weight > most {
-			worst, most = r, weight
+		if without, ok := p.slackWithout(r); ok {
+			image := r.task.group.step.Image
+			seen[image] = append(seen[image], slackPair{without, r.slack()})
 		}
 	}
-	return worst
+	for image, list := range seen {
+		slices.SortFunc(list, func(a, b slackPair) int { return cmp.Compare(a.without-a.observed, b.without-b.observed) })
+		m := list[(len(list)-1)/2]
+		p.harm.Learn(p.now, image, m.without, m.observed, load)
+	}
+}
+
+// slackWithout returns the slack that a run would have without scavengers. A
+// baseline that is not fresh only serves for tails above their targets.
+func (p *Planner) slackWithout(r *run) (slack estimator.Slack, ok bool) {
+	base, fresh, known := r.task.group.baseline.Slack(p.now)
+	if !fresh && r.slack() >= 1 {
+		return 0, false
+	}
+	if !known {
+		base = usualSlack
+	}
+	return base, true
 }
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/estimator"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 	"github.com/balsamcove/balsamcove/pkg/submitter"
 )
@@ -65,6 +66,8 @@
 	// tookSum and tookCount tell how long runs that were done took.
 	tookSum   time.Duration
 	tookCount int
+	// baseline is the tail of a step that serves, without scavengers.
+	baseline estimator.Baseline
 	// gangFailures counts failed runs of a gang as a whole.
 	gangFailures int
 }
--- a/internal/planner/log.go
+++ b/internal/planner/log.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/estimator"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
 
@@ -15,7 +16,7 @@
 	RunLost(run connector.RunID, worker identifier.Worker)
 	StartUnanswered(run connector.RunID, worker identifier.Worker, try int, err error)
 	StartRefused(run connector.RunID, worker identifier.Worker, verdict connector.OrderVerdict)
-	RunEvicted(run connector.RunID, worker identifier.Worker, serving identifier.Image, tail float64)
+	RunEvicted(run connector.RunID, worker identifier.Worker, serving identifier.Image, slack estimator.Slack)
 	RunStraggles(run connector.RunID, worker identifier.Worker, percent int, ran time.Duration)
 	RunMoved(run connector.RunID, worker identifier.Worker, reason string)
 	StrayRun(run connector.RunID, worker identifier.Worker)
@@ -31,7 +32,7 @@
 func (noLog) RunLost(connector.RunID, identifier.Worker)                                        {}
 func (noLog) StartUnanswered(connector.RunID, identifier.Worker, int, error)                    {}
 func (noLog) StartRefused(connector.RunID, identifier.Worker, connector.OrderVerdict)           {}
-func (noLog) RunEvicted(connector.RunID, identifier.Worker, identifier.Image, float64)          {}
+func (noLog) RunEvicted(connector.RunID, identifier.Worker, identifier.Image, estimator.Slack)  {}
 func (noLog) RunStraggles(connector.RunID, identifier.Worker, int, time.Duration)               {}
 func (noLog) RunMoved(connector.RunID, identifier.Worker, string)                               {}
 func (noLog) StrayRun(connector.RunID, identifier.Worker)                                       {}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -11,6 +11,9 @@
 	// holdWait is how long a worker may wait for an end before it answers; the
 	// lease is renewed at least this often.
 	holdWait = time.Second
+	// mixedWait is the same for a worker on which scavengers run beside tasks that
+	// serve: a tail that is too long has to be noticed soon.
+	mixedWait = 400 * time.Millisecond
 	// missPause is the pause after a look without an answer, by the number of
 	// those in a row.
 	missPause = 150 * time.Millisecond
@@ -54,12 +57,20 @@
 		order.LeaseUntil = &until
 	}
 	if sameLife && !w.unsaved && !w.inDoubt() {
-		order.Wait = holdWait
+		order.Wait = w.holdWait()
 	}
 	w.holding = true
 	p.emit(HoldWorker{To: w.target(), Order: order})
 }
 
+// holdWait returns how long the worker may wait for an end before it answers.
+func (w *worker) holdWait() time.Duration {
+	if w.serving > 0 && len(w.scavengersBy) > 0 {
+		return mixedWait
+	}
+	return holdWait
+}
+
 // inDoubt reports whether a run of the worker needs a look at once.
 func (w *worker) inDoubt() bool {
 	for _, r := range w.runs {
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -138,18 +138,6 @@
 	w.nextHold = p.now
 }
 
-func (p *Planner) paceAnswered(e PaceAnswered) {
-	r := p.runAt(e.Worker, e.Run)
-	if r == nil {
-		return
-	}
-	if e.Err != nil || e.Answer.Verdict != connector.VerdictOK {
-		r.pace = fullPace
-		return
-	}
-	r.pace = e.Percent
-}
-
 // workerReplaced handles a worker whose address belongs to another one: it has
 // ended, and its runs with it.
 func (p *Planner) workerReplaced(w *worker) {
--- /dev/null
+++ b/internal/planner/pacer_test.go
@@ -0,0 +1,139 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/estimator"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
+)
+
+// mixed is a worker on which a scavenger runs beside a task that serves.
+type mixed struct {
+	*bench
+	watch, scavenger StartRun
+}
+
+// newMixed places a scavenger on a tenth of a worker beside a task that serves.
+func newMixed(t *testing.T, pressure estimator.Pressure) mixed {
+	t.Helper()
+	entry := workerEntry("w")
+	entry.Capacity.Processors = 10 * small.Processors
+	m := mixed{bench: newBench(t, entry)}
+	m.update(0)
+	m.look("w", connector.HoldAnswer{})
+	m.watch = m.startOne(submitter.Step{Count: 1, Size: small, LongRunning: true, TailTarget: identifier.Duration(time.Second), Image: "watch"})
+	m.confirm(m.watch)
+	m.p.harm.Set("watch", "batch", 0)
+	m.submit("00000000000000ab", submitter.Step{Count: 1, Size: small, Scavenger: true, Image: "batch", Checkpoints: true})
+	m.save()
+	starts := m.starts()
+	if len(starts) != 1 {
+		t.Fatalf("%d starts, want the scavenger's", len(starts))
+	}
+	m.scavenger = starts[0]
+	m.confirm(m.scavenger)
+	m.p.harm.Set("watch", "batch", pressure)
+	return m
+}
+
+// lookAt answers the next look with the slack that the watch has.
+func (m mixed) lookAt(after time.Duration, slack estimator.Slack) []Command {
+	m.p.workers["w"].holding = false
+	m.update(after)
+	m.look("w", connector.HoldAnswer{Active: []connector.ActiveRun{
+		{Run: m.watch.Order.Run, Percent: 100, Tail: time.Duration(float64(time.Second) / float64(slack))},
+		{Run: m.scavenger.Order.Run, Percent: 10, Used: small.Processors},
+	}})
+	return m.commands
+}
+
+func paceOf(commands []Command) string {
+	out := ""
+	for _, c := range commands {
+		switch c := c.(type) {
+		case PaceRun:
+			out += fmt.Sprint("pace ", c.Percent, " ")
+		case StopRun:
+			out += "stop "
+		}
+	}
+	return out
+}
+
+// TestScavengersAreSlowedDown checks what is done to a scavenger by the slack that
+// a task beside it has, and by the pressure that is known of the pair.
+func TestScavengersAreSlowedDown(t *testing.T) {
+	tests := map[string]struct {
+		pressure estimator.Pressure
+		// slack is what the look tells.
+		slack estimator.Slack
+		want  string
+	}{
+		"ample slack":                      {2, 2.5, ""},
+		"little slack, mild pressure":      {3, 1.05, "pace 50 "},
+		"no slack, mild pressure":          {3, 0.75, "pace 20 "},
+		"no slack, harmful":                {12, 0.4, "pace 20 "},
+		"no slack at any pace, harmful":    {5, 0.3, "pace 0 stop "},
+		"slack enough although harmful":    {5, 2.2, ""},
+		"too long a tail, little expected": {0.5, 0.95, "pace 20 "},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newMixed(t, tt.pressure)
+			if got := paceOf(m.lookAt(100*time.Millisecond, tt.slack)); got != tt.want {
+				t.Errorf("%q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestScavengersAreLetGo checks that a scavenger goes on at full pace once there is
+// slack again, and not before there is some to spare.
+func TestScavengersAreLetGo(t *testing.T) {
+	m := newMixed(t, 3)
+	if got := paceOf(m.lookAt(100*time.Millisecond, 1.05)); got != "pace 50 " {
+		t.Fatalf("%q, want it slowed down", got)
+	}
+	if got := paceOf(m.lookAt(time.Second, 2.5)); got != "pace 100 " {
+		t.Errorf("%q with slack to spare, want full pace", got)
+	}
+}
+
+// TestLostPaceIsSentAgain checks that a pace without an answer is not taken for
+// granted.
+func TestLostPaceIsSentAgain(t *testing.T) {
+	m := newMixed(t, 3)
+	m.lookAt(100*time.Millisecond, 1.05)
+	m.update(0, PaceAnswered{Worker: "w", Run: m.scavenger.Order.Run, Percent: 50, Err: connector.ErrUnknown})
+	if got := paceOf(m.lookAt(time.Second, 2.5)); got != "pace 100 " {
+		t.Errorf("%q, want the pace to be set although it may be full", got)
+	}
+}
+
+// TestLongSuffering checks that every scavenger leaves a worker whose tails stay
+// above their targets, whatever is expected of it.
+func TestLongSuffering(t *testing.T) {
+	m := newMixed(t, 0)
+	got := ""
+	for range 8 {
+		got += paceOf(m.lookAt(300*time.Millisecond, 0.9))
+		m.p.harm.Set("watch", "batch", 0)
+	}
+	if got != "pace 20 pace 0 stop " && got != "pace 0 stop " {
+		t.Errorf("%q, want the scavenger stopped", got)
+	}
+}
+
+func TestImagesThatGoTogether(t *testing.T) {
+	type images = map[identifier.Image]int
+	best := []images{{"a": 1, "b": 2}, {"a": 3}, {"b": 1, "c": 1}, {}, {"b": 4}}
+	for i := range best[1:] {
+		if better, worse := imageWeight(best[i], "a"), imageWeight(best[i+1], "a"); better <= worse {
+			t.Errorf("%v has %v and %v has %v, want more for the first", best[i], better, best[i+1], worse)
+		}
+	}
+}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -114,15 +114,15 @@
 func (p *Planner) choose(t *task, d demand) *worker {
 	var best *worker
 	var bestScore float64
-	var h harms
+	quiet := 0.0
 	if d.kind == loadScavenger {
-		h = p.harmsOf(t.group.step.Image)
+		quiet = p.needOfQuiet(t.group.step.Image)
 	}
 	for _, w := range p.workers {
-		if w.entry.Service != d.service || !p.usable(w) || !p.allowed(t, w, d.kind, h) {
+		if w.entry.Service != d.service || !p.usable(w) || !p.allowed(t, w, d.kind) {
 			continue
 		}
-		if s := p.score(t, w, d.kind, h); best == nil || s > bestScore || (s == bestScore && w.id < best.id) {
+		if s := p.score(t, w, d.kind, quiet); best == nil || s > bestScore || (s == bestScore && w.id < best.id) {
 			best, bestScore = w, s
 		}
 	}
@@ -130,7 +130,7 @@
 }
 
 // allowed reports whether a task may run on a worker now.
-func (p *Planner) allowed(t *task, w *worker, kind loadKind, h harms) bool {
+func (p *Planner) allowed(t *task, w *worker, kind loadKind) bool {
 	step := t.group.step
 	size := step.Size
 	if kind == loadScavenger {
@@ -138,7 +138,7 @@
 		if w.spare() < step.Size.Processors {
 			return false
 		}
-		if !p.tolerates(w, step.Image, h, p.now.Sub(t.readyAt)) {
+		if !p.tolerates(w, step, p.now.Sub(t.readyAt)) {
 			return false
 		}
 	}
@@ -174,39 +174,40 @@
 const (
 	weightDataRack   = 4
 	weightFailedHere = -8
-	weightOtherImage = -2
 	weightOpens      = -1.5
+	weightJoinsPure  = -3
+	weightJoinsMixed = -1
+	weightStaysMixed = 0.3
 	weightScavenged  = -0.8
-	weightDisturbed  = -2
+	weightSlack      = 0.5
 	weightQuiet      = -1
 	weightMixed      = -0.3
 	weightSuspect    = -4
 )
 
-// score returns how good a worker is for a task that may run there. Tasks that
+// score returns how good a worker is for a task that may run there; quiet is how
+// much a scavenger needs workers without tasks that serve. Tasks that
 // serve are packed by their images, since each image is disturbed by other
 // scavengers; others are spread over the workers with the most processors to spare.
-func (p *Planner) score(t *task, w *worker, kind loadKind, h harms) float64 {
+func (p *Planner) score(t *task, w *worker, kind loadKind, quiet float64) float64 {
 	spare := share(w.spare(), w.entry.Capacity.Processors)
 	s := 0.0
 	switch kind {
 	case loadServing:
-		s -= spare
-		s += weightOtherImage * float64(others(w.servingBy, t.group.step.Image))
+		s -= share(w.room().Processors, w.entry.Capacity.Processors)
+		s += imageWeight(w.servingBy, t.group.step.Image)
 		s += weightScavenged * p.disturbance(w, t.group.step.Image)
-		if w.serving == 0 {
-			s += weightOpens
-		}
 	case loadPlain:
 		s += spare
 		if w.serving == 0 {
 			s += weightQuiet
 		}
 	case loadScavenger:
-		s += spare + weightDisturbed*h.at(w)
+		s += spare
 		if w.serving == 0 {
-			s += weightQuiet * (1 - h.mean)
+			s += weightQuiet * (1 - quiet)
 		} else {
+			s += weightSlack * float64(p.expectedSlack(w, t.group.step.Image, share(t.group.step.Size.Processors, w.entry.Capacity.Processors)))
 			s += weightMixed * float64(others(w.scavengersBy, t.group.step.Image))
 		}
 	}
@@ -222,6 +223,24 @@
 	return s
 }
 
+// imageWeight returns how well an image that serves goes with those that serve on
+// a worker already. A worker with several images is of little use to scavengers,
+// most of which harm one or the other, so that few workers are to have several.
+func imageWeight(images map[identifier.Image]int, image identifier.Image) float64 {
+	switch _, has := images[image]; {
+	case len(images) == 0:
+		return weightOpens
+	case has && len(images) > 1:
+		return weightStaysMixed
+	case has:
+		return 0
+	case len(images) > 1:
+		return weightJoinsMixed
+	default:
+		return weightJoinsPure
+	}
+}
+
 func share(part, whole identifier.Millicores) float64 {
 	if whole == 0 {
 		return 0
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -508,7 +508,7 @@
 	b.look("w", connector.HoldAnswer{})
 	b.submit("00000000000000aa", submitter.Step{Count: 1, Size: small, LongRunning: true, TailTarget: 1, Image: "watch"})
 	b.save()
-	b.p.harm.Set("watch", "heavy", 1)
+	b.p.harm.Set("watch", "heavy", 40)
 	b.p.harm.Set("watch", "light", 0)
 	b.submit("00000000000000ab", submitter.Step{Count: 1, Size: small, Scavenger: true, Image: "heavy"})
 	b.submit("00000000000000ac", submitter.Step{Count: 1, Size: small, Scavenger: true, Image: "light"})
--- a/internal/planner/query.go
+++ b/internal/planner/query.go
@@ -60,7 +60,7 @@
 		s.ReadyTasks += j.ready
 		s.Runs += j.runs
 	}
-	s.HarmfulPairs = p.harm.Above(tolerated)
+	s.HarmfulPairs = p.harm.Above(harmfulPressure)
 	for _, w := range p.workers {
 		if p.usable(w) {
 			s.UsableWorkers++
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -253,7 +253,7 @@
 	w := p.workerOf(rec.Worker)
 	r := &run{
 		id:   connector.RunID{Task: t.name(), Attempt: rec.Attempt},
-		task: t, size: t.group.step.Size, phase: runUnsure, pace: fullPace, started: p.now, progress: p.now,
+		task: t, size: t.group.step.Size, phase: runUnsure, pace: restoredPace(t), started: p.now, progress: p.now,
 		unwanted: t.phase == taskDone || t.group.job.state.Ended(),
 	}
 	p.reserve(w, r)
@@ -264,6 +264,14 @@
 	}
 }
 
+// restoredPace returns the pace of a run that an earlier holder started.
+func restoredPace(t *task) int {
+	if t.group.step.Scavenger {
+		return unknownPace
+	}
+	return fullPace
+}
+
 // settle makes the tasks of a restored job ready that can go on.
 func (p *Planner) settle(j *job) {
 	for k, groups := range j.occurrences {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/estimator"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
 
@@ -83,14 +84,15 @@
 	// failures counts failed runs in a row, over all jobs.
 	failures    int
 	quarantined time.Time
-	// nextEviction is when the next scavenger may be evicted.
-	nextEviction time.Time
-	departed     []departure
-	// tail is the longest that was last seen, in parts of its target.
-	tail float64
+	departed    []departure
+	// baseSlacks are the slacks without scavengers, by image; scavengerShares is what
+	// the scavengers were promised, by image.
+	baseSlacks      map[identifier.Image]estimator.Slack
+	scavengerShares estimator.Load
+	// slack is the least that was last seen.
+	slack estimator.Slack
 	// drainingSince is when the worker was first seen to drain.
 	drainingSince time.Time
-	observedAt    time.Time
 	// sufferingSince is since when a tail is above its target; quietUntil keeps
 	// scavengers away.
 	sufferingSince time.Time
@@ -112,6 +114,7 @@
 		w = &worker{
 			id: id, runs: map[connector.RunID]*run{}, leaseEnd: p.inheritedLeaseEnd, sequence: p.sequenceFloor + 1,
 			servingBy: map[identifier.Image]int{}, scavengersBy: map[identifier.Image]int{},
+			scavengerShares: estimator.Load{}, slack: ampleSlack,
 		}
 		p.workers[id] = w
 	}
@@ -159,6 +162,7 @@
 	size := r.size
 	if r.task.group.step.Scavenger {
 		w.scavenge += identifier.Millicores(sign) * size.Processors
+		w.addShare(r.task.group.step.Image, float64(sign)*share(size.Processors, w.entry.Capacity.Processors))
 		size.Processors = 0
 	}
 	if r.task.group.step.Serves() {
@@ -172,6 +176,15 @@
 	w.used = w.used.Sub(size)
 }
 
+// addShare changes what the scavengers of an image were promised.
+func (w *worker) addShare(image identifier.Image, by float64) {
+	if w.scavengersBy[image] == 0 {
+		delete(w.scavengerShares, image)
+		return
+	}
+	w.scavengerShares[image] = max(w.scavengerShares[image]+by, 0)
+}
+
 // room returns what is left for reservations.
 func (w *worker) room() identifier.Size { return w.entry.Capacity.Sub(w.used) }
 
--- a/internal/supervisor/log.go
+++ b/internal/supervisor/log.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/estimator"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/meter"
 	"github.com/balsamcove/balsamcove/internal/planner"
@@ -74,9 +75,9 @@
 }
 
 // RunEvicted implements planner.Log.
-func (l PlanLog) RunEvicted(run connector.RunID, worker identifier.Worker, serving identifier.Image, tail float64) {
+func (l PlanLog) RunEvicted(run connector.RunID, worker identifier.Worker, serving identifier.Image, slack estimator.Slack) {
 	l.meter.Decided("evicted")
-	l.logger.Info("run evicted", append(runFields(run, worker), zap.String("serving", string(serving)), zap.Float64("tailOfTarget", tail))...)
+	l.logger.Info("run evicted", append(runFields(run, worker), zap.String("serving", string(serving)), zap.Float64("slack", float64(slack)))...)
 }
 
 // RunStraggles implements planner.Log.
