--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -22,9 +22,8 @@
 	roughSlack estimator.Slack = 0.25
 	// caution multiplies expected losses: pressures vary by half within seconds.
 	caution = 1.25
-	// patience is how long a scavenger waits for such a place before lateSlack
-	// holds, and lastPatience before any place does.
-	patience                     = 4 * time.Second
+	// lateSlack is that for a scavenger whose patience is over, and lastPatience is
+	// how long it waits before any place does.
 	lateSlack    estimator.Slack = 1.1
 	lastPatience                 = 20 * time.Second
 	// harmfulPressure is the pressure from which a pair counts as harmful in
@@ -158,8 +157,8 @@
 const ampleSlack estimator.Slack = 4
 
 // tolerates reports whether a scavenger that has waited may be placed on a worker
-// beside tasks that serve.
-func (p *Planner) tolerates(w *worker, step *submitter.Step, waited time.Duration) bool {
+// beside tasks that serve; one that is patient waits for a place where it harms none.
+func (p *Planner) tolerates(w *worker, step *submitter.Step, waited time.Duration, patient bool) bool {
 	if w.serving == 0 {
 		return true
 	}
@@ -168,7 +167,7 @@
 	}
 	slack := p.expectedSlack(w, step.Image, share(step.Size.Processors, w.entry.Capacity.Processors))
 	switch {
-	case waited < patience:
+	case patient:
 		return slack >= placeSlack && p.explores(w, step.Image) && !p.harmsOn(w, step.Image)
 	case waited < lastPatience:
 		return slack >= lateSlack
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"sort"
 	"time"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
@@ -238,29 +237,6 @@
 	}
 }
 
-// chain returns the longest estimated chain of work of a job.
-func chain(def *submitter.Job) time.Duration {
-	ends := make([]time.Duration, len(def.Steps))
-	longest := time.Duration(0)
-	for i, s := range def.Steps {
-		for _, a := range s.After {
-			ends[i] = max(ends[i], ends[a])
-		}
-		ends[i] += s.Estimate.Std()
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
-// objectiveOf returns by when a job should be completed.
-func objectiveOf(j *job, from time.Time) time.Time {
-	stretch := j.queue.Stretch
-	if stretch <= 0 {
-		stretch = 1
-	}
-	return from.Add(time.Duration(float64(chain(&j.def))*stretch) + j.queue.Allowance.Std())
-}
-
 // activateDue creates the occurrences of scheduled jobs whose time has come.
 func (p *Planner) activateDue() {
 	for j := range p.scheduled {
@@ -277,24 +253,3 @@
 		}
 	}
 }
-
-// waitingJobs returns the jobs with ready tasks in the order of service:
-// priority first, then the earliest objective.
-func (p *Planner) waitingJobs() []*job {
-	jobs := make([]*job, 0, len(p.waiting))
-	for j := range p.waiting {
-		jobs = append(jobs, j)
-	}
-	sort.Slice(jobs, func(i, k int) bool { return before(jobs[i], jobs[k]) })
-	return jobs
-}
-
-func before(a, b *job) bool {
-	if a.queue.Priority != b.queue.Priority {
-		return a.queue.Priority < b.queue.Priority
-	}
-	if !a.objective.Equal(b.objective) {
-		return a.objective.Before(b.objective)
-	}
-	return a.def.ID < b.def.ID
-}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -55,12 +55,15 @@
 	service identifier.Service
 	kind    loadKind
 	image   identifier.Image
+	// patient is set while a scavenger waits for a place where it harms nobody.
+	patient bool
 }
 
-func demandOf(t *task) demand {
+func (p *Planner) demandOf(t *task) demand {
 	d := demand{service: t.group.job.queue.Service, kind: kindOf(t.group.step)}
 	if d.kind == loadScavenger {
 		d.image = t.group.step.Image
+		d.patient = p.now.Sub(t.readyAt) < p.patience(t.group.job)
 	}
 	return d
 }
@@ -96,7 +99,7 @@
 
 func (p *Planner) placeTask(t *task, full fullSizes) {
 	step := t.group.step
-	d := demandOf(t)
+	d := p.demandOf(t)
 	if full.covers(d, step.Size) {
 		return
 	}
@@ -119,7 +122,7 @@
 		quiet = p.needOfQuiet(t.group.step.Image)
 	}
 	for _, w := range p.workers {
-		if w.entry.Service != d.service || !p.usable(w) || !p.allowed(t, w, d.kind) {
+		if w.entry.Service != d.service || !p.usable(w) || !p.allowed(t, w, d) {
 			continue
 		}
 		if s := p.score(t, w, d.kind, quiet); best == nil || s > bestScore || (s == bestScore && w.id < best.id) {
@@ -130,19 +133,19 @@
 }
 
 // allowed reports whether a task may run on a worker now.
-func (p *Planner) allowed(t *task, w *worker, kind loadKind) bool {
+func (p *Planner) allowed(t *task, w *worker, d demand) bool {
 	step := t.group.step
 	size := step.Size
-	if kind == loadScavenger {
+	if d.kind == loadScavenger {
 		size.Processors = 0
 		if w.spare() < step.Size.Processors {
 			return false
 		}
-		if !p.tolerates(w, step, p.now.Sub(t.readyAt)) {
+		if !p.tolerates(w, step, p.now.Sub(t.readyAt), d.patient) {
 			return false
 		}
 	}
-	if kind == loadServing && t.attempt == 0 {
+	if d.kind == loadServing && t.attempt == 0 {
 		size.Processors += identifier.Millicores(servingHeadroom * float64(w.entry.Capacity.Processors))
 	}
 	if !size.Fits(w.room()) {
@@ -261,7 +264,7 @@
 			saved = c
 		}
 	}
-	d := demandOf(&g.tasks[0])
+	d := p.demandOf(&g.tasks[0])
 	claimed := make([]*run, 0, len(g.tasks))
 	for i := range g.tasks {
 		t := &g.tasks[i]
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -440,14 +440,17 @@
 
 func TestOrderOfService(t *testing.T) {
 	at := time.UnixMilli(1000)
-	jobOf := func(priority int, objective time.Duration) *job {
-		return &job{queue: connector.QueueConfig{Priority: priority}, objective: at.Add(objective), def: submitter.Job{ID: identifier.Job(fmt.Sprint(priority, objective))}}
+	jobOf := func(priority int, objective time.Duration, late bool) turn {
+		return turn{late: late, job: &job{queue: connector.QueueConfig{Priority: priority}, objective: at.Add(objective), def: submitter.Job{ID: identifier.Job(fmt.Sprint(priority, objective))}}}
 	}
 	tests := map[string]struct {
-		first, second *job
+		first, second turn
 	}{
-		"priority before objective": {jobOf(0, time.Hour), jobOf(1, 0)},
-		"earlier objective":         {jobOf(1, time.Second), jobOf(1, time.Minute)},
+		"priority before objective":   {jobOf(0, time.Hour, false), jobOf(1, 0, false)},
+		"priority although late":      {jobOf(0, time.Hour, true), jobOf(1, 0, false)},
+		"earlier objective":           {jobOf(1, time.Second, false), jobOf(1, time.Minute, false)},
+		"in time before late":         {jobOf(1, time.Minute, false), jobOf(1, time.Second, true)},
+		"earlier objective, all late": {jobOf(1, time.Second, true), jobOf(1, time.Minute, true)},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
