Reach the store through other hosts while it does not serve this one

Change: internal/relayer: a call that is turned away, or has no answer in 350 ms, goes through a peer, the one that helped last first, until a probe finds the store again. The intake's own way through peers and the look-up of holders through peers are gone. The stand-in deals partitions evenly, as the platform does. TestHolderThatIsTurnedAwayGoesOn fails without the peers.

--- a/internal/commander/schedule.go
+++ b/internal/commander/schedule.go
@@ -20,6 +20,7 @@
 	"github.com/balsamcove/balsamcove/internal/messenger"
 	"github.com/balsamcove/balsamcove/internal/meter"
 	"github.com/balsamcove/balsamcove/internal/planner"
+	"github.com/balsamcove/balsamcove/internal/relayer"
 	"github.com/balsamcove/balsamcove/internal/supervisor"
 )
 
@@ -70,7 +71,7 @@
 	defer rpc.Close()
 	var sup *supervisor.Supervisor
 	directory := dialer.NewDirectory(rpc, cfg.Platform.Directory, l, func(d connector.Directory) { sup.DirectoryChanged(d) })
-	sup = supervisor.New(scheduleSettings(cfg), dialer.NewStore(rpc, cfg.Platform.Store), dialer.NewRunner(rpc), directory, supervisor.NewPlanLog(l, jobs), l)
+	sup = supervisor.New(scheduleSettings(cfg), relayer.New(dialer.NewStore(rpc, cfg.Platform.Store), l), dialer.NewRunner(rpc), directory, supervisor.NewPlanLog(l, jobs), l)
 	ln, err := listener.Listen(cfg.Listen.Admin)
 	if err != nil {
 		return err
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,8 +20,6 @@
 const (
 	// appendPause is the pause between two tries of unknown outcome.
 	appendPause = 60 * time.Millisecond
-	// maxPeerTries bounds the other hosts that are asked to store a record.
-	maxPeerTries = 3
 	// askTimeout bounds one question to a holder.
 	askTimeout = 500 * time.Millisecond
 	// askPause is the pause before a holder is looked up and asked again.
@@ -81,22 +78,16 @@
 	return s.put(ctx, identifier.CellOf(in.ID, s.cells), record, in.ID)
 }
 
-// put stores a record, here or through another host. A repeat of the same
-// record is harmless, so that a try of unknown outcome is made again.
+// put stores a record. A repeat of the same record is harmless, so that a try of
+// unknown outcome is made again.
 func (s *Service) put(ctx context.Context, cell identifier.Cell, record connector.KeyedRecord, id identifier.Job) error {
 	unknown := false
 	for ctx.Err() == nil {
-		err := s.putHere(ctx, cell, record)
+		err := s.batchers[cell].put(ctx, record)
 		if err == nil {
 			return nil
 		}
 		unknown = unknown || errors.Is(err, connector.ErrUnknown)
-		stored, unsure := s.putElsewhere(ctx, cell, record)
-		if stored {
-			s.logger.Info("record stored through another host", zap.String("request", string(id)), logger.NamedErr("here", err))
-			return nil
-		}
-		unknown = unknown || unsure
 		if !unknown {
 			s.logger.Warn("record refused", zap.String("request", string(id)), logger.Err(err))
 			return refuser.New(refuser.CodeUnavailable, "the store turns this host away: %v", err).WithRetryAfter(storeRetryAfter)
@@ -110,33 +101,6 @@
 	return refuser.NewUnknown(refuser.CodeUnavailable, "the store did not answer in time")
 }
 
-func (s *Service) putHere(ctx context.Context, cell identifier.Cell, record connector.KeyedRecord) error {
-	return s.batchers[cell].put(ctx, record)
-}
-
-// putCall asks another host to store a record.
-type putCall struct {
-	Cell  identifier.Cell `json:"cell"`
-	Key   string          `json:"key"`
-	Value []byte          `json:"value"`
-}
-
-func (s *Service) putElsewhere(ctx context.Context, cell identifier.Cell, record connector.KeyedRecord) (stored, unsure bool) {
-	peers := s.locator.Peers()
-	rand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
-	for i, peer := range peers {
-		if i == maxPeerTries || ctx.Err() != nil {
-			break
-		}
-		err := s.call(ctx, peer, messenger.MethodPut, putCall{cell, record.Key, record.Value}, nil)
-		if err == nil {
-			return true, false
-		}
-		unsure = unsure || refuser.From(err).Effect == refuser.Unknown && !errors.Is(err, connector.ErrNotSent)
-	}
-	return false, unsure
-}
-
 func (s *Service) call(ctx context.Context, peer string, method messenger.Method, params, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -209,14 +173,10 @@
 // Handle answers the calls of other hosts.
 func (s *Service) Handle(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
 	switch method {
-	case messenger.MethodPut:
-		return s.handlePut(ctx, params)
 	case messenger.MethodJobState:
 		return handle(ctx, s, params, Holder.State)
 	case messenger.MethodWaiting:
 		return s.handleWaiting(params)
-	case messenger.MethodOwners:
-		return s.locator.Owners(ctx)
 	case messenger.MethodJobReport:
 		return handle(ctx, s, params, Holder.Report)
 	case messenger.MethodJobExplain:
@@ -228,25 +188,6 @@
 	}
 }
 
-func (s *Service) handlePut(ctx context.Context, params json.RawMessage) (any, error) {
-	var in putCall
-	if err := json.Unmarshal(params, &in); err != nil {
-		return nil, refuser.New(refuser.CodeInvalid, "%v", err)
-	}
-	if in.Cell < 0 || int(in.Cell) >= s.cells {
-		return nil, refuser.New(refuser.CodeInvalid, "there is no cell %d", in.Cell)
-	}
-	err := s.putHere(ctx, in.Cell, connector.KeyedRecord{Key: in.Key, Value: in.Value})
-	switch {
-	case err == nil:
-		return struct{}{}, nil
-	case errors.Is(err, connector.ErrUnknown):
-		return nil, refuser.NewUnknown(refuser.CodeUnavailable, "%v", err)
-	default:
-		return nil, refuser.New(refuser.CodeUnavailable, "%v", err)
-	}
-}
-
 func (s *Service) handleWaiting(params json.RawMessage) (any, error) {
 	var in waitingCall
 	if err := json.Unmarshal(params, &in); err != nil {
--- a/internal/intake/locator.go
+++ b/internal/intake/locator.go
@@ -12,7 +12,6 @@
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/elector"
 	"github.com/balsamcove/balsamcove/internal/logger"
-	"github.com/balsamcove/balsamcove/internal/messenger"
 	"github.com/balsamcove/balsamcove/internal/sleeper"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
@@ -41,7 +40,6 @@
 // Locator knows which host holds which cell, and the addresses of other hosts.
 type Locator struct {
 	store  connector.Store
-	rpc    *messenger.Client
 	self   string
 	logger *zap.Logger
 
@@ -54,8 +52,8 @@
 
 // NewLocator returns a locator that knows nobody yet. Self is this host's
 // address for other hosts.
-func NewLocator(store connector.Store, rpc *messenger.Client, self string, logger *zap.Logger) *Locator {
-	return &Locator{store: store, rpc: rpc, self: self, logger: logger, holders: map[identifier.Cell]string{}, busy: make(chan struct{}, 1)}
+func NewLocator(store connector.Store, self string, logger *zap.Logger) *Locator {
+	return &Locator{store: store, self: self, logger: logger, holders: map[identifier.Cell]string{}, busy: make(chan struct{}, 1)}
 }
 
 // Run looks the holders up from time to time until ctx ends.
@@ -81,8 +79,7 @@
 	return slices.Clone(l.peers)
 }
 
-// Refresh looks the holders up, in the store or else at other hosts. Calls in
-// quick succession share one look-up.
+// Refresh looks the holders up. Calls in quick succession share one look-up.
 func (l *Locator) Refresh(ctx context.Context) {
 	select {
 	case l.busy <- struct{}{}:
@@ -100,7 +97,6 @@
 	owners, err := l.lookUp(ctx)
 	if err != nil {
 		l.logger.Debug("holders cannot be looked up", logger.Err(err))
-		owners = l.askPeers(ctx)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -116,25 +112,6 @@
 	return l.store.Owners(ctx, elector.Group)
 }
 
-// Owners returns who holds which cell according to the store.
-func (l *Locator) Owners(ctx context.Context) ([]connector.Ownership, error) { return l.lookUp(ctx) }
-
-func (l *Locator) askPeers(ctx context.Context) []connector.Ownership {
-	for _, peer := range l.Peers() {
-		var owners []connector.Ownership
-		if err := l.ask(ctx, peer, &owners); err == nil && len(owners) > 0 {
-			return owners
-		}
-	}
-	return nil
-}
-
-func (l *Locator) ask(ctx context.Context, peer string, owners *[]connector.Ownership) error {
-	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
-	defer cancel()
-	return l.rpc.Call(ctx, peer, messenger.MethodOwners, struct{}{}, owners)
-}
-
 // learn replaces the holders; hosts that hold nothing now stay known as peers
 // while they are few.
 func (l *Locator) learn(owners []connector.Ownership) {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -30,17 +30,16 @@
 	MethodState      Method = "state"
 	MethodMemory     Method = "memory"
 	MethodExplain    Method = "explain"
-	MethodPut        Method = "put"
 	MethodJobState   Method = "jobState"
 	MethodWaiting    Method = "waiting"
-	MethodOwners     Method = "owners"
 	MethodJobReport  Method = "jobReport"
 	MethodJobExplain Method = "jobExplain"
 	MethodJobList    Method = "jobList"
 )
 
 // The calls of scheduling hosts to a platform that speaks this project's own
-// protocol.
+// protocol; those of a store also go to other hosts, for a host that the store does
+// not answer.
 const (
 	MethodAppend    Method = "append"
 	MethodNewest    Method = "newest"
--- /dev/null
+++ b/internal/relayer/relayer.go
@@ -0,0 +1,313 @@
+// Package relayer reaches the store through other hosts while it does not answer
+// this one: a store may turn some hosts away, or a link to it may be cut, while it
+// serves the others.
+package relayer
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/dialer"
+	"github.com/balsamcove/balsamcove/internal/logger"
+	"github.com/balsamcove/balsamcove/internal/messenger"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+)
+
+const (
+	// hedgeAfter is how long the store may take to answer before another host is
+	// asked beside it: many times the usual answer, and less than a third of the
+	// lifetime of a membership.
+	hedgeAfter = 350 * time.Millisecond
+	// probePeriod is how often the store is tried again while calls go to other
+	// hosts first.
+	probePeriod = 500 * time.Millisecond
+	// probeGroup is a group that nobody joins; asking for it costs little.
+	probeGroup = "probe"
+	// maxPeers bounds the hosts that are asked for one call.
+	maxPeers = 2
+	// peerTimeout bounds a call of another host beyond the time that it may wait
+	// for records.
+	peerTimeout = 400 * time.Millisecond
+)
+
+// Store is a store that is reached through other hosts when need be. It implements
+// connector.Store; all calls of a scheduling host may be repeated, since appends
+// are told apart by their writers or replace their keys.
+type Store struct {
+	own    connector.Store
+	rpc    *messenger.Client
+	logger *zap.Logger
+	source logger.Dependency
+
+	mu    sync.Mutex
+	peers func() []string
+	// helper is the host through which the last call went.
+	helper string
+	// detour is set while other hosts are asked first; it is closed once the store
+	// serves this host again. onDetour is closed when the next detour begins.
+	detour   chan struct{}
+	onDetour chan struct{}
+	closed   chan struct{}
+}
+
+// New returns a store that this host reaches by own; it has no peers yet.
+func New(own connector.Store, l *zap.Logger) *Store {
+	return &Store{
+		own: own, rpc: messenger.NewClient(messenger.WithSilentDropped()), logger: l,
+		source:   logger.Dependency{Name: "store, by this host itself", Logger: l},
+		peers:    func() []string { return nil },
+		onDetour: make(chan struct{}), closed: make(chan struct{}),
+	}
+}
+
+// UsePeers sets where the addresses of the other hosts come from.
+func (s *Store) UsePeers(peers func() []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peers = peers
+}
+
+// Close closes the connections to other hosts. It is called once.
+func (s *Store) Close() {
+	close(s.closed)
+	s.rpc.Close()
+}
+
+// Own returns the store as this host reaches it, for the calls of other hosts.
+func (s *Store) Own() connector.Store { return s.own }
+
+// helps reports whether another host may do better after an error: the store did
+// not judge the call.
+func helps(err error) bool {
+	return err != nil && !errors.IsAny(err, connector.ErrFenced, connector.ErrConflict, connector.ErrExpired, connector.ErrRefused)
+}
+
+// outcome is what came of a call.
+type outcome[T any] struct {
+	value T
+	err   error
+}
+
+// relay makes a call here and, if that fails or takes long, through other hosts.
+// Wait is how long the store may wait for records before it answers.
+func relay[T any](ctx context.Context, s *Store, wait time.Duration, call func(context.Context, connector.Store) (T, error)) (T, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	onDetour, began := s.way()
+	if onDetour {
+		if out := throughPeers(ctx, s, wait, call); !helps(out.err) {
+			return out.value, out.err
+		}
+	}
+	own := make(chan outcome[T], 1)
+	go func() {
+		value, err := call(ctx, s.own)
+		own <- outcome[T]{value, err}
+	}()
+	hedge := time.NewTimer(wait + hedgeAfter)
+	defer hedge.Stop()
+	select {
+	case out := <-own:
+		s.judge(out.err)
+		if !helps(out.err) || ctx.Err() != nil {
+			return out.value, out.err
+		}
+		return better(out, throughPeers(ctx, s, wait, call))
+	case <-hedge.C:
+	case <-began:
+	}
+	peer := make(chan outcome[T], 1)
+	go func() { peer <- throughPeers(ctx, s, wait, call) }()
+	return first(s, own, peer)
+}
+
+// first returns the outcome that comes first and is not to be improved on, or else
+// that of this host.
+func first[T any](s *Store, own, peer chan outcome[T]) (T, error) {
+	select {
+	case out := <-own:
+		s.judge(out.err)
+		if !helps(out.err) {
+			return out.value, out.err
+		}
+		return better(out, <-peer)
+	case out := <-peer:
+		if !helps(out.err) {
+			s.judge(errSilent)
+			return out.value, out.err
+		}
+		mine := <-own
+		s.judge(mine.err)
+		return mine.value, mine.err
+	}
+}
+
+// errSilent stands for a store that answered another host sooner.
+var errSilent = errors.Mark(errors.New("store has not answered in time"), connector.ErrUnknown)
+
+// better returns the outcome of the other hosts if the store has judged the call
+// there. Otherwise the error is one of unknown effect if either is.
+func better[T any](own, peer outcome[T]) (T, error) {
+	if !helps(peer.err) || errors.Is(peer.err, connector.ErrUnknown) {
+		return peer.value, peer.err
+	}
+	return own.value, own.err
+}
+
+// errNoPeer marks a call for which no other host is known.
+var errNoPeer = errors.Mark(errors.New("no other host is known"), connector.ErrNotSent)
+
+// throughPeers makes a call through other hosts, one after the other.
+func throughPeers[T any](ctx context.Context, s *Store, wait time.Duration, call func(context.Context, connector.Store) (T, error)) outcome[T] {
+	out := outcome[T]{err: errNoPeer}
+	unknown := false
+	for _, address := range s.choosePeers() {
+		peerCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+		value, err := call(peerCtx, dialer.NewStore(s.rpc, address))
+		cancel()
+		out = outcome[T]{value, err}
+		if ctx.Err() != nil {
+			return out
+		}
+		s.noteHelper(address, !helps(err))
+		if !helps(err) {
+			return out
+		}
+		unknown = unknown || errors.Is(err, connector.ErrUnknown)
+	}
+	if unknown {
+		out.err = errors.Mark(out.err, connector.ErrUnknown)
+	}
+	return out
+}
+
+// choosePeers returns the hosts to ask, the one that helped last first.
+func (s *Store) choosePeers() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	peers := s.peers()
+	rand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
+	if i := slices.Index(peers, s.helper); i > 0 {
+		peers[0], peers[i] = peers[i], peers[0]
+	}
+	return peers[:min(len(peers), maxPeers)]
+}
+
+// noteHelper remembers whether a call went through another host.
+func (s *Store) noteHelper(address string, helped bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case helped:
+		s.helper = address
+	case s.helper == address:
+		s.helper = ""
+	}
+}
+
+// way reports whether other hosts are asked first; began is closed when the next
+// detour begins.
+func (s *Store) way() (onDetour bool, began <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.detour != nil {
+		return true, nil
+	}
+	return false, s.onDetour
+}
+
+// judge notes whether the store answers this host. Once it does not, other hosts
+// are asked first until a probe succeeds.
+func (s *Store) judge(err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !helps(err) {
+		err = nil
+	}
+	s.source.Report(err)
+	switch {
+	case err != nil && s.detour == nil:
+		s.detour = make(chan struct{})
+		close(s.onDetour)
+		go s.probe(s.detour)
+	case err == nil && s.detour != nil:
+		close(s.detour)
+		s.detour, s.onDetour = nil, make(chan struct{})
+	}
+}
+
+// probe tries the store from time to time until it answers.
+func (s *Store) probe(over <-chan struct{}) {
+	for {
+		select {
+		case <-over:
+			return
+		case <-s.closed:
+			return
+		case <-time.After(probePeriod):
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+		_, err := s.own.Owners(ctx, probeGroup)
+		cancel()
+		s.judge(err)
+	}
+}
+
+// Append implements connector.Store.
+func (s *Store) Append(ctx context.Context, a connector.KeyedAppend) (identifier.Offset, error) {
+	return relay(ctx, s, 0, func(ctx context.Context, st connector.Store) (identifier.Offset, error) { return st.Append(ctx, a) })
+}
+
+// Newest implements connector.Store.
+func (s *Store) Newest(ctx context.Context, topic connector.Topic, part connector.Partition, after string) (connector.KeyedPage, error) {
+	return relay(ctx, s, 0, func(ctx context.Context, st connector.Store) (connector.KeyedPage, error) {
+		return st.Newest(ctx, topic, part, after)
+	})
+}
+
+// records are what a read returns.
+type records struct {
+	list []connector.KeyedRecord
+	next identifier.Offset
+}
+
+// Read implements connector.Store.
+func (s *Store) Read(ctx context.Context, topic connector.Topic, part connector.Partition, from identifier.Offset, wait time.Duration) ([]connector.KeyedRecord, identifier.Offset, error) {
+	out, err := relay(ctx, s, wait, func(ctx context.Context, st connector.Store) (records, error) {
+		list, next, err := st.Read(ctx, topic, part, from, wait)
+		return records{list, next}, err
+	})
+	return out.list, out.next, err
+}
+
+// Join implements connector.Store.
+func (s *Store) Join(ctx context.Context, group string, topic connector.Topic, member string, generation uint64, ttl time.Duration) (connector.Membership, error) {
+	return relay(ctx, s, 0, func(ctx context.Context, st connector.Store) (connector.Membership, error) {
+		return st.Join(ctx, group, topic, member, generation, ttl)
+	})
+}
+
+// Leave implements connector.Store.
+func (s *Store) Leave(ctx context.Context, group, member string) error {
+	_, err := relay(ctx, s, 0, func(ctx context.Context, st connector.Store) (struct{}, error) {
+		return struct{}{}, st.Leave(ctx, group, member)
+	})
+	return err
+}
+
+// Owners implements connector.Store.
+func (s *Store) Owners(ctx context.Context, group string) ([]connector.Ownership, error) {
+	return relay(ctx, s, 0, func(ctx context.Context, st connector.Store) ([]connector.Ownership, error) {
+		return st.Owners(ctx, group)
+	})
+}
--- /dev/null
+++ b/internal/relayer/relayer_test.go
@@ -0,0 +1,122 @@
+package relayer_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/messenger"
+	"github.com/balsamcove/balsamcove/internal/relayer"
+	"github.com/balsamcove/balsamcove/internal/simulator"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+)
+
+// peer serves the store as a client of a name reaches it, and returns its address.
+func peer(t *testing.T, store *simulator.Store, name string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := ln.Addr().String()
+	_ = ln.Close()
+	rpc, err := messenger.Listen(address, func(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
+		out, _, err := relayer.Serve(ctx, store.Client(name), method, params)
+		return out, err
+	}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = rpc.Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return address
+}
+
+// callTime is how long a caller waits.
+const callTime = time.Second
+
+func write(t *testing.T, s connector.Store, epoch identifier.Epoch) error {
+	ctx, cancel := context.WithTimeout(t.Context(), callTime)
+	defer cancel()
+	_, err := s.Append(ctx, connector.KeyedAppend{
+		Topic: "work", Writer: &connector.WriterID{Name: "holder", Epoch: epoch},
+		Records: []connector.KeyedRecord{{Key: "k", Value: []byte("v")}},
+	})
+	return err
+}
+
+// TestCallsGoThroughOtherHosts checks what a host can still do while the store does
+// not serve it, and what it is told if nobody can help.
+func TestCallsGoThroughOtherHosts(t *testing.T) {
+	type names = map[string]bool
+	tests := map[string]struct {
+		faults simulator.StoreFaults
+		epoch  identifier.Epoch
+		want   error
+		within time.Duration
+	}{
+		"store works":              {simulator.StoreFaults{}, 2, nil, 100 * time.Millisecond},
+		"host is turned away":      {simulator.StoreFaults{Refused: names{"self": true}}, 2, nil, 200 * time.Millisecond},
+		"host gets no answer":      {simulator.StoreFaults{Silent: names{"self": true}}, 2, nil, 700 * time.Millisecond},
+		"one peer turned away too": {simulator.StoreFaults{Refused: names{"self": true, "p1": true}}, 2, nil, 200 * time.Millisecond},
+		"fenced through a peer":    {simulator.StoreFaults{Refused: names{"self": true}}, 0, connector.ErrFenced, 200 * time.Millisecond},
+		"all turned away":          {simulator.StoreFaults{Refused: names{"self": true, "p1": true, "p2": true}}, 2, connector.ErrBusy, 200 * time.Millisecond},
+		"away here, peers silent":  {simulator.StoreFaults{Refused: names{"self": true}, Silent: names{"p1": true, "p2": true}}, 2, connector.ErrUnknown, callTime + 200*time.Millisecond},
+		"nobody gets an answer":    {simulator.StoreFaults{Down: true}, 2, connector.ErrUnknown, callTime + 200*time.Millisecond},
+		"answer to a peer is lost": {simulator.StoreFaults{Refused: names{"self": true}, LoseAnswers: 1}, 2, nil, 300 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := simulator.NewStore(1, 1)
+			if err := write(t, store.Client("before"), 1); err != nil {
+				t.Fatal(err)
+			}
+			addresses := []string{peer(t, store, "p1"), peer(t, store, "p2")}
+			store.SetFaults(tt.faults)
+			s := relayer.New(store.Client("self"), zap.NewNop())
+			defer s.Close()
+			s.UsePeers(func() []string { return append([]string(nil), addresses...) })
+			began := time.Now()
+			err := write(t, s, tt.epoch)
+			if !errors.Is(err, tt.want) {
+				t.Errorf("error %v, want %v", err, tt.want)
+			}
+			if took := time.Since(began); took > tt.within {
+				t.Errorf("took %v, want at most %v", took, tt.within)
+			}
+		})
+	}
+}
+
+// TestStoreIsTriedAgain checks that a host goes back to its own way once the store
+// serves it again.
+func TestStoreIsTriedAgain(t *testing.T) {
+	store := simulator.NewStore(1, 1)
+	store.SetFaults(simulator.StoreFaults{Refused: map[string]bool{"self": true}})
+	address := peer(t, store, "p1")
+	s := relayer.New(store.Client("self"), zap.NewNop())
+	defer s.Close()
+	asked := 0
+	s.UsePeers(func() []string { asked++; return []string{address} })
+	if err := write(t, s, 1); err != nil {
+		t.Fatal(err)
+	}
+	store.SetFaults(simulator.StoreFaults{})
+	time.Sleep(1100 * time.Millisecond)
+	before := asked
+	if err := write(t, s, 2); err != nil || asked != before {
+		t.Errorf("error %v, peers asked %d times more", err, asked-before)
+	}
+}
--- /dev/null
+++ b/internal/relayer/server.go
@@ -0,0 +1,68 @@
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/dialer"
+	"github.com/balsamcove/balsamcove/internal/messenger"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/refuser"
+)
+
+// Serve answers a call of another host by the same call of a store. Ok is false for
+// a method that is not one of a store.
+func Serve(ctx context.Context, store connector.Store, method messenger.Method, params json.RawMessage) (out any, ok bool, err error) {
+	handle, ok := handlers[method]
+	if !ok {
+		return nil, false, nil
+	}
+	out, err = handle(ctx, store, params)
+	if err != nil {
+		return nil, true, dialer.StoreRefusal(err)
+	}
+	return out, true, nil
+}
+
+// handler answers one method.
+type handler func(ctx context.Context, store connector.Store, params json.RawMessage) (any, error)
+
+var handlers = map[messenger.Method]handler{
+	messenger.MethodAppend: decoded(func(ctx context.Context, s connector.Store, a connector.KeyedAppend) (identifier.Offset, error) {
+		return s.Append(ctx, a)
+	}),
+	messenger.MethodNewest: decoded(func(ctx context.Context, s connector.Store, c dialer.PartitionCall) (connector.KeyedPage, error) {
+		return s.Newest(ctx, c.Topic, c.Partition, c.After)
+	}),
+	messenger.MethodRead: decoded(func(ctx context.Context, s connector.Store, c dialer.PartitionCall) (dialer.RecordsReply, error) {
+		list, next, err := s.Read(ctx, c.Topic, c.Partition, c.From, time.Duration(c.WaitMs)*time.Millisecond)
+		return dialer.RecordsReply{Records: list, Next: next}, err
+	}),
+	messenger.MethodJoin: decoded(func(ctx context.Context, s connector.Store, c dialer.GroupCall) (connector.Membership, error) {
+		return s.Join(ctx, c.Group, c.Topic, c.Member, c.Generation, time.Duration(c.TTLMs)*time.Millisecond)
+	}),
+	messenger.MethodLeave: decoded(func(ctx context.Context, s connector.Store, c dialer.GroupCall) (struct{}, error) {
+		return struct{}{}, s.Leave(ctx, c.Group, c.Member)
+	}),
+	messenger.MethodHolders: decoded(func(ctx context.Context, s connector.Store, c dialer.GroupCall) ([]connector.Ownership, error) {
+		return s.Owners(ctx, c.Group)
+	}),
+}
+
+// serveTimeout bounds a call that was made for another host, beyond its wait.
+const serveTimeout = 2 * time.Second
+
+// decoded returns a handler that decodes the params of a call.
+func decoded[In, Out any](call func(ctx context.Context, store connector.Store, in In) (Out, error)) handler {
+	return func(ctx context.Context, store connector.Store, params json.RawMessage) (any, error) {
+		var in In
+		if err := json.Unmarshal(params, &in); err != nil {
+			return nil, refuser.New(refuser.CodeInvalid, "params are not readable: %v", err)
+		}
+		ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+		defer cancel()
+		return call(ctx, store, in)
+	}
+}
--- a/internal/simulator/server.go
+++ b/internal/simulator/server.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"maps"
 	"sync"
-	"time"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/dialer"
 	"github.com/balsamcove/balsamcove/internal/messenger"
+	"github.com/balsamcove/balsamcove/internal/relayer"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 	"github.com/balsamcove/balsamcove/pkg/refuser"
 )
@@ -54,11 +54,11 @@
 	case messenger.MethodVerify:
 		return Verdict{s.fleet.Starts(), s.fleet.Breaches()}, nil
 	default:
-		out, err := s.storeCall(ctx, method, params)
-		if err != nil {
-			return nil, dialer.StoreRefusal(err)
+		out, ok, err := relayer.Serve(ctx, s.store, method, params)
+		if !ok {
+			return nil, refuser.New(refuser.CodeNotFound, "there is no method %q", method)
 		}
-		return out, nil
+		return out, err
 	}
 }
 
@@ -88,32 +88,6 @@
 	}
 }
 
-func (s *Server) storeCall(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
-	switch method {
-	case messenger.MethodAppend:
-		return decoded(params, func(a connector.KeyedAppend) (identifier.Offset, error) { return s.store.Append(ctx, a) })
-	case messenger.MethodNewest:
-		return decoded(params, func(c dialer.PartitionCall) (connector.KeyedPage, error) {
-			return s.store.Newest(ctx, c.Topic, c.Partition, c.After)
-		})
-	case messenger.MethodRead:
-		return decoded(params, func(c dialer.PartitionCall) (dialer.RecordsReply, error) {
-			records, next, err := s.store.Read(ctx, c.Topic, c.Partition, c.From, time.Duration(c.WaitMs)*time.Millisecond)
-			return dialer.RecordsReply{Records: records, Next: next}, err
-		})
-	case messenger.MethodJoin:
-		return decoded(params, func(c dialer.GroupCall) (connector.Membership, error) {
-			return s.store.Join(ctx, c.Group, c.Topic, c.Member, c.Generation, time.Duration(c.TTLMs)*time.Millisecond)
-		})
-	case messenger.MethodLeave:
-		return decoded(params, func(c dialer.GroupCall) (struct{}, error) { return struct{}{}, s.store.Leave(ctx, c.Group, c.Member) })
-	case messenger.MethodHolders:
-		return decoded(params, func(c dialer.GroupCall) ([]connector.Ownership, error) { return s.store.Owners(ctx, c.Group) })
-	default:
-		return nil, refuser.New(refuser.CodeNotFound, "there is no method %q", method)
-	}
-}
-
 func (s *Server) current() connector.Directory {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/simulator/store.go
+++ b/internal/simulator/store.go
@@ -4,7 +4,9 @@
 package simulator
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -51,6 +53,9 @@
 	generation uint64
 	members    map[string]*member
 	owners     map[connector.Partition]string
+	// leaving are partitions that their owners were not told of any more; they are
+	// dealt anew once the owner joins again.
+	leaving map[connector.Partition]bool
 }
 
 // StoreFaults say how a store misbehaves. The zero value is a store that works.
@@ -63,6 +68,8 @@
 	Slow time.Duration
 	// Refused are clients that are turned away.
 	Refused map[string]bool
+	// Silent are clients that get no answer.
+	Silent map[string]bool
 }
 
 // Store is the platform's store with keyed topics and one group of members.
@@ -136,7 +143,7 @@
 	if faults.Refused[c.name] {
 		return errors.Mark(errors.New("client is turned away"), connector.ErrBusy)
 	}
-	if faults.Down {
+	if faults.Down || faults.Silent[c.name] {
 		<-ctx.Done()
 		return errors.Mark(ErrDown, connector.ErrUnknown)
 	}
@@ -299,7 +306,7 @@
 	defer s.unlock()
 	g, ok := s.groups[name]
 	if !ok {
-		g = &group{members: map[string]*member{}, owners: map[connector.Partition]string{}}
+		g = &group{members: map[string]*member{}, owners: map[connector.Partition]string{}, leaving: map[connector.Partition]bool{}}
 		s.groups[name] = g
 	}
 	now := time.Now()
@@ -309,10 +316,12 @@
 	}
 	g.members[id].until, g.members[id].generation = now.Add(ttl), generation
 	g.expire(now)
+	g.release(id)
 	g.deal(s.parts)
+	g.shed(id, s.parts)
 	out := connector.Membership{Generation: g.generation}
 	for part := range connector.Partition(s.parts) {
-		if g.owners[part] == id {
+		if g.owners[part] == id && !g.leaving[part] {
 			out.Partitions = append(out.Partitions, part)
 		}
 	}
@@ -331,16 +340,45 @@
 	}
 }
 
-// deal gives the partitions without a living owner to the members in turn.
+// release frees the partitions that a member was not told of when it joined before.
+func (g *group) release(id string) {
+	for part := range g.leaving {
+		if g.owners[part] == id {
+			delete(g.owners, part)
+			delete(g.leaving, part)
+		}
+	}
+}
+
+// deal gives each partition without a living owner to the member that has fewest.
 func (g *group) deal(parts int) {
-	ids := make([]string, 0, len(g.members))
-	for id := range g.members {
-		ids = append(ids, id)
+	ids := slices.Sorted(maps.Keys(g.members))
+	counts := map[string]int{}
+	for _, id := range g.owners {
+		counts[id]++
 	}
-	slices.Sort(ids)
 	for part := range connector.Partition(parts) {
-		if _, alive := g.members[g.owners[part]]; !alive && len(ids) > 0 {
-			g.owners[part] = ids[int(part)%len(ids)]
+		if _, alive := g.members[g.owners[part]]; alive || len(ids) == 0 {
+			continue
+		}
+		fewest := slices.MinFunc(ids, func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
+		g.owners[part] = fewest
+		delete(g.leaving, part)
+		counts[fewest]++
+	}
+}
+
+// shed takes the partitions beyond an even share from a member, the last first.
+func (g *group) shed(id string, parts int) {
+	share := (parts + len(g.members) - 1) / len(g.members)
+	own := 0
+	for part := range connector.Partition(parts) {
+		if g.owners[part] != id {
+			continue
+		}
+		if own++; own > share && !g.leaving[part] {
+			g.leaving[part] = true
+			g.generation++
 		}
 	}
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/messenger"
 	"github.com/balsamcove/balsamcove/internal/planner"
+	"github.com/balsamcove/balsamcove/internal/relayer"
 	"github.com/balsamcove/balsamcove/internal/uptimer"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
@@ -50,7 +52,7 @@
 // Supervisor runs a host.
 type Supervisor struct {
 	settings  Settings
-	store     connector.Store
+	store     *relayer.Store
 	runner    connector.Runner
 	directory Directory
 	logger    *zap.Logger
@@ -74,14 +76,15 @@
 }
 
 // New returns a host that does not run yet.
-func New(s Settings, store connector.Store, runner connector.Runner, directory Directory, planLog planner.Log, logger *zap.Logger) *Supervisor {
+func New(s Settings, store *relayer.Store, runner connector.Runner, directory Directory, planLog planner.Log, logger *zap.Logger) *Supervisor {
 	member := intake.MemberName(s.Name, s.Life, s.Peers)
 	s.Term.Member = member
 	sup := &Supervisor{
 		settings: s, store: store, runner: runner, directory: directory, logger: logger, planLog: planLog,
 		rpc: messenger.NewClient(messenger.WithSilentDropped()), terms: map[identifier.Cell]*termRun{},
 	}
-	sup.locator = intake.NewLocator(store, sup.rpc, s.Peers, logger)
+	sup.locator = intake.NewLocator(store, s.Peers, logger)
+	store.UsePeers(sup.locator.Peers)
 	sup.intake = intake.New(store, sup.rpc, sup.locator, s.Cells, sup.heldHere, logger)
 	sup.elector = elector.New(elector.Settings{Member: member, Cells: s.Cells, TTL: s.MemberTTL}, store, logger, sup.cellsChanged, elector.WithUptime(uptimer.Now))
 	return sup
@@ -114,11 +117,12 @@
 // Run serves other hosts and callers until ctx ends, and schedules until
 // scheduling ends, which may be earlier.
 func (s *Supervisor) Run(ctx, scheduling context.Context) error {
-	server, err := messenger.Listen(s.settings.Peers, s.intake.Handle, s.logger)
+	server, err := messenger.Listen(s.settings.Peers, s.handle, s.logger)
 	if err != nil {
 		return err
 	}
 	defer s.rpc.Close()
+	defer s.store.Close()
 	s.ctx = ctx
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return server.Run(ctx) })
@@ -133,6 +137,15 @@
 	return g.Wait()
 }
 
+// handle answers the calls of other hosts: about jobs, and those of a store for a
+// host that the store does not answer.
+func (s *Supervisor) handle(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
+	if out, ok, err := relayer.Serve(ctx, s.store.Own(), method, params); ok {
+		return out, err
+	}
+	return s.intake.Handle(ctx, method, params)
+}
+
 func (s *Supervisor) heldHere(cell identifier.Cell) (intake.Holder, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -14,6 +14,7 @@
 	"github.com/balsamcove/balsamcove/internal/intake"
 	"github.com/balsamcove/balsamcove/internal/meter"
 	"github.com/balsamcove/balsamcove/internal/planner"
+	"github.com/balsamcove/balsamcove/internal/relayer"
 	"github.com/balsamcove/balsamcove/internal/simulator"
 	"github.com/balsamcove/balsamcove/internal/sleeper"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
@@ -93,7 +94,7 @@
 			SaveInterval: 5 * time.Millisecond, RenewalGrace: 2 * time.Second,
 			Planner: planner.Settings{Lease: 3 * time.Second, Inherited: 5100 * time.Millisecond, Fresh: time.Second, Retention: time.Minute},
 		},
-	}, store.Client(name), runner, d, NewPlanLog(zap.NewNop(), jobs), zap.NewNop())
+	}, relayer.New(store.Client(name), zap.NewNop()), runner, d, NewPlanLog(zap.NewNop(), jobs), zap.NewNop())
 	d.changed = s.DirectoryChanged
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &host{Supervisor: s, done: make(chan struct{})}
@@ -108,9 +109,9 @@
 	return h
 }
 
-// TestJobsOutliveTheirHolder submits jobs at three hosts over real connections,
-// ends the one that schedules, and asks the others for every job.
-func TestJobsOutliveTheirHolder(t *testing.T) {
+// newSite returns a store, a fleet of four workers and three hosts.
+func newSite(t *testing.T) (*simulator.Store, *simulator.Fleet, []*host) {
+	t.Helper()
 	fleet := simulator.NewFleet(1,
 		func(connector.RunID) (time.Duration, bool) { return 200 * time.Millisecond, false },
 		func(identifier.JobTask) identifier.Size { return testSize })
@@ -120,11 +121,60 @@
 			Capacity: identifier.Size{Processors: 4000, Memory: 8000},
 		})
 	}
-	store := simulator.NewStore(1, 1)
+	store := simulator.NewStore(partitions, 1)
 	var hosts []*host
 	for i := range 3 {
 		hosts = append(hosts, startHost(t, fmt.Sprint("h", i), store, fleet))
 	}
+	return store, fleet, hosts
+}
+
+// partitions are more than the cells, so that every host has one and is known.
+const partitions = 6
+
+// TestHolderThatIsTurnedAwayGoesOn checks that the host which schedules keeps its
+// cell, and that jobs handed in at it are done, while the store serves only others.
+func TestHolderThatIsTurnedAwayGoesOn(t *testing.T) {
+	tests := map[string]func(name string) simulator.StoreFaults{
+		"turned away": func(name string) simulator.StoreFaults {
+			return simulator.StoreFaults{Refused: map[string]bool{name: true}}
+		},
+		"no answer": func(name string) simulator.StoreFaults {
+			return simulator.StoreFaults{Silent: map[string]bool{name: true}}
+		},
+	}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) {
+			store, fleet, hosts := newSite(t)
+			ctx, cancel := context.WithTimeout(t.Context(), testLimit)
+			defer cancel()
+			for n := range testJobs {
+				submit(ctx, t, hosts[n%len(hosts)], n)
+			}
+			holder := hosts[waitForHolder(ctx, t, hosts)]
+			sleeper.Pause(ctx, 4*time.Second)
+			store.SetFaults(faults(string(holder.settings.Name)))
+			began := time.Now()
+			submit(ctx, t, holder, testJobs)
+			waitUntilCompleted(ctx, t, holder, jobID(testJobs))
+			if took := time.Since(began); took > 2*time.Second {
+				t.Errorf("a job of 400 ms took %v", took)
+			}
+			sleeper.Pause(ctx, 3*time.Second)
+			if len(holder.Stats()) == 0 {
+				t.Error("the holder has lost its cell")
+			}
+			for _, b := range fleet.Breaches() {
+				t.Error(b)
+			}
+		})
+	}
+}
+
+// TestJobsOutliveTheirHolder submits jobs at three hosts over real connections,
+// ends the one that schedules, and asks the others for every job.
+func TestJobsOutliveTheirHolder(t *testing.T) {
+	_, fleet, hosts := newSite(t)
 	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
 	defer cancel()
 	for n := range testJobs {
