Ask the placement adviser for the workers of advised queues

Cause: queues with advice were refused; installations that have them got no service. Change: the planner asks about the 30 best workers of which nothing is known, eight questions at a time; permits hold for one life of a worker and as long as they are valid; a start carries its ticket, and a refused ticket is asked for again without blame on the worker. Ruled out: asking ahead for steps that are blocked, which costs calls for jobs that fail.

--- a/internal/dispatcher/effect.go
+++ b/internal/dispatcher/effect.go
@@ -9,6 +9,7 @@
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/planner"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
 
 const (
@@ -33,6 +34,8 @@
 		t.begin(func() { t.hold(ctx, c) }, c)
 	case planner.PaceRun:
 		t.begin(func() { t.pace(ctx, c) }, c)
+	case planner.AskAdvice:
+		t.begin(func() { t.ask(ctx, c) }, c)
 	case planner.StepDown:
 		return errors.Mark(errors.Newf("step down: %s", c.Reason), ErrSuperseded)
 	}
@@ -58,10 +61,33 @@
 		t.Notify(planner.HoldAnswered{Worker: c.To.ID, Order: c.Order, SentAt: time.Now(), Err: err})
 	case planner.PaceRun:
 		t.Notify(planner.PaceAnswered{Worker: c.To.ID, Run: c.Run, Percent: c.Percent, Err: err})
+	case planner.AskAdvice:
+		t.Notify(planner.AdviceAnswered{Step: c.Step, Workers: c.Workers, Err: err})
 	case planner.StepDown:
 	}
 }
 
+// adviceTimeout bounds a question to an adviser, which takes a call at a time.
+const adviceTimeout = 4 * time.Second
+
+func (t *Term) ask(ctx context.Context, c planner.AskAdvice) {
+	ctx, cancel := context.WithTimeout(ctx, adviceTimeout)
+	defer cancel()
+	asked := time.Now()
+	advice, err := t.adviser.Advise(ctx, c.Step, c.Workers)
+	t.Notify(planner.AdviceAnswered{Step: c.Step, Workers: c.Workers, AskedAt: asked, Advice: advice, Err: err})
+}
+
+// noAdviser stands for an adviser that does not exist.
+type noAdviser struct{}
+
+var errNoAdviser = errors.New("there is no placement adviser")
+
+// Advise implements connector.Adviser.
+func (noAdviser) Advise(context.Context, connector.StepID, []identifier.Worker) (connector.Advice, error) {
+	return connector.Advice{}, errors.Mark(errNoAdviser, connector.ErrNotSent)
+}
+
 func (t *Term) start(ctx context.Context, c planner.StartRun) {
 	if !t.valid() {
 		t.fail(c, errors.Mark(errNotValid, connector.ErrNotSent))
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -68,6 +68,7 @@
 	settings Settings
 	store    connector.Store
 	runner   connector.Runner
+	adviser  connector.Adviser
 	logger   *zap.Logger
 	log      planner.Log
 	valid    func() bool
@@ -89,6 +90,10 @@
 // WithLog sets where the planner's decisions go.
 func WithLog(l planner.Log) Option { return func(t *Term) { t.log = l } }
 
+// WithAdviser sets who decides about the workers of advised queues; without one their
+// jobs wait.
+func WithAdviser(a connector.Adviser) Option { return func(t *Term) { t.adviser = a } }
+
 // WithValidity sets what is asked before each start whether this host still
 // may act as the holder, and before each renewal how long ago that was certain.
 func WithValidity(valid func() bool, unseen func() time.Duration) Option {
@@ -99,8 +104,9 @@
 func NewTerm(cell identifier.Cell, s Settings, store connector.Store, runner connector.Runner, logger *zap.Logger, opts ...Option) *Term {
 	t := &Term{
 		cell: cell, settings: s, store: store, runner: runner,
-		logger: logger.With(zap.Int("cell", int(cell))),
-		valid:  func() bool { return true }, unseen: func() time.Duration { return 0 },
+		adviser: noAdviser{},
+		logger:  logger.With(zap.Int("cell", int(cell))),
+		valid:   func() bool { return true }, unseen: func() time.Duration { return 0 },
 		events: make(chan planner.Event, eventBuffer),
 		save:   make(chan struct{}, 1),
 	}
--- /dev/null
+++ b/internal/planner/adviser.go
@@ -0,0 +1,149 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+)
+
+const (
+	// maxAsked is how many workers an adviser is asked about at a time. It takes
+	// time for each, and on the users' sites lets every other one or so pass.
+	maxAsked = 30
+	// maxQuestions bounds the questions under way, below the 32 at which the users'
+	// adviser turns calls away.
+	maxQuestions = 8
+	// permitMargin is kept for the way of a start to its worker.
+	permitMargin = 200 * time.Millisecond
+	// advicePause is the pause after a question without an answer.
+	advicePause = 250 * time.Millisecond
+)
+
+// permit is what an adviser said of a worker, in one life of it.
+type permit struct {
+	born   identifier.UnixMillis
+	good   bool
+	ticket string
+	until  time.Time
+}
+
+// advised is what a step of an advised queue knows of the workers.
+type advised struct {
+	permits map[identifier.Worker]permit
+	asking  bool
+	retryAt time.Time
+}
+
+func (g *group) id() connector.StepID {
+	return connector.StepID{Job: g.job.def.ID, Occurrence: g.occurrence, Step: g.index}
+}
+
+// permitted returns the ticket with which a group may run on a worker now; known is
+// false if the adviser has to be asked about it.
+func (p *Planner) permitted(g *group, w *worker) (ticket string, good, known bool) {
+	said, ok := g.advised.permits[w.id]
+	switch {
+	case !ok || said.born != w.born:
+		return "", false, false
+	case !said.good:
+		return "", false, true
+	case p.now.Add(permitMargin).After(said.until):
+		return "", false, false
+	default:
+		return said.ticket, true, true
+	}
+}
+
+// askAdvice asks about workers for tasks of a group that have found none.
+func (p *Planner) askAdvice(g *group) {
+	if !g.job.queue.Advised || g.ready == 0 || g.advised.asking || p.now.Before(g.advised.retryAt) || p.questions >= maxQuestions {
+		return
+	}
+	workers := p.candidates(g)
+	if len(workers) == 0 {
+		return
+	}
+	g.advised.asking = true
+	p.questions++
+	p.emit(AskAdvice{Step: g.id(), Workers: workers})
+}
+
+// candidates returns the best workers for a group of which the adviser was not asked.
+func (p *Planner) candidates(g *group) []identifier.Worker {
+	t := g.firstReady()
+	d := p.demandOf(t)
+	type candidate struct {
+		id    identifier.Worker
+		score float64
+	}
+	var found []candidate
+	for _, w := range p.workers {
+		if _, _, known := p.permitted(g, w); !known && p.obstacleTo(t, w, d) == obstaclePermit {
+			found = append(found, candidate{w.id, p.score(t, w, d.kind, 0)})
+		}
+	}
+	slices.SortFunc(found, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	out := make([]identifier.Worker, 0, maxAsked)
+	for _, c := range found[:min(len(found), maxAsked)] {
+		out = append(out, c.id)
+	}
+	return out
+}
+
+// adviceAnswered takes an adviser's answer, or its failure, into account.
+func (p *Planner) adviceAnswered(e AdviceAnswered) {
+	p.questions--
+	g := p.groupOf(e.Step)
+	if g == nil {
+		return
+	}
+	g.advised.asking = false
+	p.log.Advised(e.Step, len(e.Workers), len(e.Advice.Good), e.Err)
+	if e.Err != nil {
+		g.advised.retryAt = p.now.Add(advicePause)
+		return
+	}
+	if g.advised.permits == nil {
+		g.advised.permits = map[identifier.Worker]permit{}
+	}
+	for _, id := range e.Workers {
+		if w, ok := p.workers[id]; ok {
+			g.advised.permits[id] = permit{born: w.born}
+		}
+	}
+	for _, good := range e.Advice.Good {
+		if known, ok := g.advised.permits[good.Worker]; ok {
+			known.good, known.ticket, known.until = true, good.Ticket, e.AskedAt.Add(e.Advice.Valid)
+			g.advised.permits[good.Worker] = known
+		}
+	}
+}
+
+func (p *Planner) groupOf(id connector.StepID) *group {
+	j, ok := p.jobs[id.Job]
+	if !ok {
+		return nil
+	}
+	groups := j.occurrences[id.Occurrence]
+	if id.Step >= len(groups) {
+		return nil
+	}
+	return groups[id.Step]
+}
+
+// ticketRefused forgets a permit that a worker did not accept, and places the task
+// again. The worker is not to blame.
+func (p *Planner) ticketRefused(r *run) {
+	delete(r.task.group.advised.permits, r.worker.id)
+	if r.tries > 1 {
+		p.doubt(r)
+		return
+	}
+	p.forgetRun(r)
+	p.requeue(r.task)
+}
--- /dev/null
+++ b/internal/planner/adviser_test.go
@@ -0,0 +1,127 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
+)
+
+// newAdvised returns a bench of three workers whose queue is advised, with one job
+// that waits, and the question that was asked about it.
+func newAdvised(t *testing.T, step submitter.Step) (*bench, AskAdvice) {
+	t.Helper()
+	b := newBench(t, workerEntry("w1"), workerEntry("w2"), workerEntry("w3"))
+	cfg := queueConfig
+	cfg.Advised = true
+	b.dir.Queues[queue] = cfg
+	b.update(0)
+	for i := range 3 {
+		id := identifier.Worker(fmt.Sprint("w", i+1))
+		b.p.workers[id].holding = false
+		b.update(0)
+		b.look(id, connector.HoldAnswer{Born: 1})
+	}
+	b.submit("00000000000000aa", step)
+	ask, ok := find[AskAdvice](b.commands, func(AskAdvice) bool { return true })
+	if !ok {
+		t.Fatal("the adviser is not asked")
+	}
+	b.save()
+	if len(b.starts()) > 0 {
+		t.Fatal("a task starts without a permit")
+	}
+	return b, ask
+}
+
+// advise brings an adviser's answer and returns the starts that follow.
+func (b *bench) advise(ask AskAdvice, valid time.Duration, err error, good ...identifier.Worker) []StartRun {
+	a := connector.Advice{Valid: valid}
+	for _, w := range good {
+		a.Good = append(a.Good, connector.Permit{Worker: w, Ticket: "for " + string(w)})
+	}
+	b.update(time.Millisecond, AdviceAnswered{Step: ask.Step, Workers: ask.Workers, AskedAt: b.now, Advice: a, Err: err})
+	b.save()
+	return b.starts()
+}
+
+func TestAdvisedStepsRunWherePermitted(t *testing.T) {
+	tests := map[string]struct {
+		valid time.Duration
+		err   error
+		good  []identifier.Worker
+		want  map[identifier.Worker]string
+	}{
+		"one is good":      {3 * time.Second, nil, []identifier.Worker{"w2"}, map[identifier.Worker]string{"w2": "for w2"}},
+		"none is good":     {3 * time.Second, nil, nil, nil},
+		"no answer":        {0, errLost, nil, nil},
+		"not valid enough": {100 * time.Millisecond, nil, []identifier.Worker{"w2"}, nil},
+		"not asked about":  {3 * time.Second, nil, []identifier.Worker{"w9"}, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b, ask := newAdvised(t, submitter.Step{Count: 1, Size: small})
+			starts := b.advise(ask, tt.valid, tt.err, tt.good...)
+			if len(starts) != len(tt.want) {
+				t.Fatalf("%d starts, want %d", len(starts), len(tt.want))
+			}
+			for _, s := range starts {
+				if s.Order.Ticket != tt.want[s.To.ID] || s.Order.Ticket == "" {
+					t.Errorf("start on %s with ticket %q, want %q", s.To.ID, s.Order.Ticket, tt.want[s.To.ID])
+				}
+			}
+		})
+	}
+}
+
+// TestRefusedTicketIsAskedForAgain checks that a worker which does not take a ticket
+// is asked about anew, and is not held to be faulty.
+func TestRefusedTicketIsAskedForAgain(t *testing.T) {
+	b, ask := newAdvised(t, submitter.Step{Count: 1, Size: small})
+	s := b.advise(ask, 3*time.Second, nil, "w2")[0]
+	b.update(time.Millisecond, StartAnswered{
+		Worker: "w2", Run: s.Order.Run, Epoch: s.Order.Epoch, Answer: connector.OrderAnswer{Verdict: connector.VerdictTicket},
+	})
+	again, ok := find[AskAdvice](b.commands, func(AskAdvice) bool { return true })
+	if !ok || len(again.Workers) != 1 || again.Workers[0] != "w2" {
+		t.Errorf("asked about %v, want w2 only", again.Workers)
+	}
+	if b.p.workers["w2"].failures > 0 {
+		t.Error("the refusal counts against the worker")
+	}
+}
+
+// TestPermitsEndWithTheWorker checks that a worker which was started again needs a
+// new permit.
+func TestPermitsEndWithTheWorker(t *testing.T) {
+	b, ask := newAdvised(t, submitter.Step{Count: 1, Size: small})
+	b.advise(ask, time.Minute, nil, "w2")
+	g := b.p.groupOf(ask.Step)
+	if _, good, _ := b.p.permitted(g, b.p.workers["w2"]); !good {
+		t.Fatal("no permit for w2")
+	}
+	b.p.workers["w2"].born = 2
+	if _, good, known := b.p.permitted(g, b.p.workers["w2"]); good || known {
+		t.Error("the permit outlives the worker")
+	}
+}
+
+// TestQuestionsAreBounded checks that a crowd of jobs does not overrun the adviser.
+func TestQuestionsAreBounded(t *testing.T) {
+	b, _ := newAdvised(t, submitter.Step{Count: 1, Size: small})
+	asked := 1
+	for n := range 40 {
+		b.submit(identifier.Job(fmt.Sprintf("%016x", n)), submitter.Step{Count: 1, Size: small})
+		for _, c := range b.commands {
+			if _, ok := c.(AskAdvice); ok {
+				asked++
+			}
+		}
+	}
+	if asked != maxQuestions {
+		t.Errorf("%d questions at the same time, want %d", asked, maxQuestions)
+	}
+}
--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -59,9 +59,10 @@
 	r.phase = runStarting
 	r.epoch = p.epochOf(w)
 	r.tries++
+	ticket, _, _ := p.permitted(r.task.group, w)
 	p.emit(StartRun{To: w.target(), Order: connector.RunOrder{
 		Run: r.id, Spec: r.task.group.job.def.Spec, Epoch: r.epoch,
-		LeaseUntil: p.leaseUntil(w), Checkpoint: r.task.checkpoint,
+		LeaseUntil: p.leaseUntil(w), Checkpoint: r.task.checkpoint, Ticket: ticket,
 	}})
 }
 
--- a/internal/planner/command.go
+++ b/internal/planner/command.go
@@ -32,6 +32,11 @@
 		Percent int
 		Epoch   identifier.Epoch
 	}
+	// AskAdvice asks which of the workers may run a step.
+	AskAdvice struct {
+		Step    connector.StepID
+		Workers []identifier.Worker
+	}
 	// StepDown gives the cell up, since another holder has taken over.
 	StepDown struct{ Reason string }
 )
@@ -40,4 +45,5 @@
 func (StopRun) command()    {}
 func (HoldWorker) command() {}
 func (PaceRun) command()    {}
+func (AskAdvice) command()  {}
 func (StepDown) command()   {}
--- a/internal/planner/event.go
+++ b/internal/planner/event.go
@@ -67,6 +67,14 @@
 		Answer  connector.OrderAnswer
 		Err     error
 	}
+	// AdviceAnswered brings the answer to an AskAdvice, or its failure.
+	AdviceAnswered struct {
+		Step    connector.StepID
+		Workers []identifier.Worker
+		AskedAt time.Time
+		Advice  connector.Advice
+		Err     error
+	}
 	// Ticked says that time has passed.
 	Ticked struct{}
 )
@@ -81,4 +89,5 @@
 func (StopAnswered) event()     {}
 func (HoldAnswered) event()     {}
 func (PaceAnswered) event()     {}
+func (AdviceAnswered) event()   {}
 func (Ticked) event()           {}
--- a/internal/planner/explainer.go
+++ b/internal/planner/explainer.go
@@ -26,6 +26,8 @@
 	obstacleRoom        obstacle = "have no room"
 	obstacleLabel       obstacle = "lack the label"
 	obstacleSpread      obstacle = "run as many tasks of the step as are allowed"
+	obstacleAdvice      obstacle = "are ruled out by the adviser"
+	obstaclePermit      obstacle = "have no permit of the adviser yet"
 )
 
 // Explain says why a job is where it is.
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -67,6 +67,7 @@
 	tookCount int
 	// baseline is the tail of a step that serves, without scavengers.
 	baseline estimator.Baseline
+	advised  advised
 	// gangFailures counts failed runs of a gang as a whole.
 	gangFailures int
 }
--- a/internal/planner/log.go
+++ b/internal/planner/log.go
@@ -19,6 +19,7 @@
 	RunEvicted(run connector.RunID, worker identifier.Worker, serving identifier.Image, slack estimator.Slack)
 	RunStraggles(run connector.RunID, worker identifier.Worker, percent int, ran time.Duration)
 	RunMoved(run connector.RunID, worker identifier.Worker, reason string)
+	Advised(step connector.StepID, asked, good int, err error)
 	StrayRun(run connector.RunID, worker identifier.Worker)
 	WorkerChanged(worker identifier.Worker, change string)
 	WorkerSilent(worker identifier.Worker, since time.Duration, err error)
@@ -35,6 +36,7 @@
 func (noLog) RunEvicted(connector.RunID, identifier.Worker, identifier.Image, estimator.Slack)  {}
 func (noLog) RunStraggles(connector.RunID, identifier.Worker, int, time.Duration)               {}
 func (noLog) RunMoved(connector.RunID, identifier.Worker, string)                               {}
+func (noLog) Advised(connector.StepID, int, int, error)                                         {}
 func (noLog) StrayRun(connector.RunID, identifier.Worker)                                       {}
 func (noLog) WorkerChanged(identifier.Worker, string)                                           {}
 func (noLog) WorkerSilent(identifier.Worker, time.Duration, error)                              {}
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -35,6 +35,9 @@
 		p.startFenced(r, e.Epoch)
 	case connector.VerdictOtherLife:
 		p.workerReplaced(w)
+	case connector.VerdictTicket:
+		p.log.StartRefused(r.id, w.id, e.Answer.Verdict)
+		p.ticketRefused(r)
 	default:
 		p.log.StartRefused(r.id, w.id, e.Answer.Verdict)
 		p.startRefused(r)
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -17,6 +17,7 @@
 		for _, groups := range j.occurrences {
 			for _, g := range groups {
 				p.placeGroup(g, full)
+				p.askAdvice(g)
 			}
 		}
 	}
@@ -105,7 +106,7 @@
 	}
 	w := p.choose(t, d)
 	if w == nil {
-		if step.Label == "" && step.MaxPerWorker == 0 {
+		if step.Label == "" && step.MaxPerWorker == 0 && !t.group.job.queue.Advised {
 			full[d] = append(full[d], step.Size)
 		}
 		return
@@ -162,8 +163,24 @@
 	case step.MaxPerWorker > 0 && p.runsOf(t.group, w) >= step.MaxPerWorker:
 		return obstacleSpread
 	default:
+		return p.obstacleOfAdvice(t.group, w)
+	}
+}
+
+// obstacleOfAdvice says whether the adviser keeps a step of an advised queue from a
+// worker.
+func (p *Planner) obstacleOfAdvice(g *group, w *worker) obstacle {
+	if !g.job.queue.Advised {
 		return obstacleNone
 	}
+	switch _, good, known := p.permitted(g, w); {
+	case good:
+		return obstacleNone
+	case known:
+		return obstacleAdvice
+	default:
+		return obstaclePermit
+	}
 }
 
 // runsOf counts the runs of a group on a worker.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -79,6 +79,9 @@
 	// neighbours counts the workers that have both images of a pair.
 	neighbours map[imagePair]int
 
+	// questions counts those to the adviser that are under way.
+	questions int
+
 	dirty     map[*job]struct{}
 	retired   []Retired
 	retiredAt time.Time
@@ -168,6 +171,8 @@
 		p.holdAnswered(e)
 	case PaceAnswered:
 		p.paceAnswered(e)
+	case AdviceAnswered:
+		p.adviceAnswered(e)
 	case Ticked:
 	}
 }
--- a/internal/supervisor/log.go
+++ b/internal/supervisor/log.go
@@ -92,6 +92,13 @@
 	l.logger.Info("run moves", append(runFields(run, worker), zap.String("reason", reason))...)
 }
 
+// Advised implements planner.Log.
+func (l PlanLog) Advised(step connector.StepID, asked, good int, err error) {
+	l.meter.Decided("advised")
+	l.logger.Info("adviser answers", zap.String("request", string(step.Job)), zap.Int("step", step.Step),
+		zap.Int("asked", asked), zap.Int("good", good), logger.Err(err))
+}
+
 // StrayRun implements planner.Log.
 func (l PlanLog) StrayRun(run connector.RunID, worker identifier.Worker) {
 	l.meter.Decided("stray")
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -55,6 +55,7 @@
 	store     *relayer.Store
 	runner    connector.Runner
 	directory Directory
+	adviser   connector.Adviser
 	logger    *zap.Logger
 	planLog   planner.Log
 
@@ -75,8 +76,14 @@
 	done chan struct{}
 }
 
+// Option changes a new supervisor.
+type Option func(*Supervisor)
+
+// WithAdviser sets who decides about the workers of advised queues.
+func WithAdviser(a connector.Adviser) Option { return func(s *Supervisor) { s.adviser = a } }
+
 // New returns a host that does not run yet.
-func New(s Settings, store *relayer.Store, runner connector.Runner, directory Directory, planLog planner.Log, logger *zap.Logger) *Supervisor {
+func New(s Settings, store *relayer.Store, runner connector.Runner, directory Directory, planLog planner.Log, logger *zap.Logger, opts ...Option) *Supervisor {
 	member := intake.MemberName(s.Name, s.Life, s.Peers)
 	s.Term.Member = member
 	sup := &Supervisor{
@@ -85,6 +92,9 @@
 	}
 	sup.locator = intake.NewLocator(store, s.Peers, logger)
 	store.UsePeers(sup.locator.Peers)
+	for _, o := range opts {
+		o(sup)
+	}
 	sup.intake = intake.New(store, sup.rpc, sup.locator, s.Cells, sup.heldHere, logger)
 	sup.elector = elector.New(elector.Settings{Member: member, Cells: s.Cells, TTL: s.MemberTTL}, store, logger, sup.cellsChanged, elector.WithUptime(uptimer.Now))
 	return sup
@@ -200,8 +210,11 @@
 func (s *Supervisor) newTerm(cell identifier.Cell) *dispatcher.Term {
 	settings := s.settings.Term
 	settings.Planner.Cell, settings.Planner.Cells = cell, s.settings.Cells
-	return dispatcher.NewTerm(cell, settings, s.store, s.runner, s.logger,
-		dispatcher.WithLog(s.planLog), dispatcher.WithValidity(s.elector.Valid, s.elector.SinceRenewed))
+	opts := []dispatcher.Option{dispatcher.WithLog(s.planLog), dispatcher.WithValidity(s.elector.Valid, s.elector.SinceRenewed)}
+	if s.adviser != nil {
+		opts = append(opts, dispatcher.WithAdviser(s.adviser))
+	}
+	return dispatcher.NewTerm(cell, settings, s.store, s.runner, s.logger, opts...)
 }
 
 // runTerm runs a term, and a new one after each that failed, until ctx ends.
