An error of the relay is of unknown effect if any try was

A call that was lost on its way through a peer and was then turned away by the store here was reported by the second outcome alone; so was one that a detour had lost before. Ruled out: the intake, which keeps unknown once it has seen it; batches. Change: every outcome of a call's tries counts for its effect, also beside a verdict of the store; on a detour the peers are not asked twice.

--- a/internal/commander/host.go
+++ b/internal/commander/host.go
@@ -14,7 +14,7 @@
 
 // Run runs a scheduling host until a signal stops it.
 func (c *hostCommand) Run(s *session) error {
-	sink := logger.NewSink(s.stdout)
+	sink := logger.NewSink(s.stdout, sinkOptions(c.LogLevel)...)
 	defer sink.Close()
 	l, err := logger.New(sink, c.LogLevel)
 	if err != nil {
@@ -26,3 +26,11 @@
 	}
 	return platform.Run(s.ctx, path, l, sink.Dropped)
 }
+
+// sinkOptions lets debug lines pass without a limit.
+func sinkOptions(level string) []logger.SinkOption {
+	if level == "debug" {
+		return []logger.SinkOption{logger.WithoutLimit()}
+	}
+	return nil
+}
--- a/internal/commander/schedule.go
+++ b/internal/commander/schedule.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	sink := logger.NewSink(s.stdout)
+	sink := logger.NewSink(s.stdout, sinkOptions(string(cfg.Log.Level))...)
 	defer sink.Close()
 	l, err := logger.New(sink, string(cfg.Log.Level))
 	if err != nil {
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -11,11 +11,17 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+	"golang.org/x/time/rate"
 )
 
 const (
 	// queueLines bounds the lines that wait to be written.
 	queueLines = 2048
+	// lineRate is how many lines a second are written in the long run, the operators'
+	// bound; lineBurst is how many more may come at once, as when a data centre is
+	// cut off.
+	lineRate  = 200
+	lineBurst = 400
 	// chunkBytes is about how many bytes are written at once.
 	chunkBytes = 16 << 10
 )
@@ -24,20 +30,38 @@
 type Sink struct {
 	out     io.Writer
 	lines   chan []byte
+	limit   *rate.Limiter
 	dropped atomic.Int64
 	done    chan struct{}
 	once    sync.Once
 }
 
+// SinkOption changes a new sink.
+type SinkOption func(*Sink)
+
+// WithoutLimit lets a sink write as many lines a second as find room in its queue,
+// for a program that is being debugged.
+func WithoutLimit() SinkOption { return func(s *Sink) { s.limit = rate.NewLimiter(rate.Inf, 0) } }
+
 // NewSink returns a sink that writes to out until Close.
-func NewSink(out io.Writer) *Sink {
-	s := &Sink{out: out, lines: make(chan []byte, queueLines), done: make(chan struct{})}
+func NewSink(out io.Writer, opts ...SinkOption) *Sink {
+	s := &Sink{
+		out: out, lines: make(chan []byte, queueLines), limit: rate.NewLimiter(lineRate, lineBurst), done: make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(s)
+	}
 	go s.run()
 	return s
 }
 
-// Write queues one line; it never fails and never waits.
+// Write queues one line; it never fails and never waits. A line beyond the limit is
+// dropped and counted.
 func (s *Sink) Write(line []byte) (int, error) {
+	if !s.limit.Allow() {
+		s.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case s.lines <- append([]byte(nil), line...):
 	default:
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,7 +28,7 @@
 // while nobody reads the log.
 func TestNeverBlocks(t *testing.T) {
 	out := &blocked{release: make(chan struct{})}
-	s := NewSink(out)
+	s := NewSink(out, WithoutLimit())
 	l, err := New(s, "info")
 	if err != nil {
 		t.Fatal(err)
@@ -53,6 +54,32 @@
 	}
 }
 
+// TestVolumeIsBounded checks that a flood of lines is cut to the operators' bound, and
+// that what was dropped is counted.
+func TestVolumeIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const flood, seconds = 1000, 5
+		var out bytes.Buffer
+		s := NewSink(&out)
+		for range seconds {
+			for range flood {
+				if _, err := s.Write([]byte("line\n")); err != nil {
+					t.Fatal(err)
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		s.Close()
+		written := bytes.Count(out.Bytes(), []byte("\n"))
+		if most := lineBurst + seconds*lineRate; written > most || written < lineRate*seconds {
+			t.Errorf("%d lines written, want %d to %d", written, lineRate*seconds, most)
+		}
+		if int(s.Dropped())+written != flood*seconds {
+			t.Errorf("%d dropped and %d written of %d", s.Dropped(), written, flood*seconds)
+		}
+	})
+}
+
 func TestLinesAreJSON(t *testing.T) {
 	var out bytes.Buffer
 	s := NewSink(&out)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -100,10 +100,11 @@
 func relay[T any](ctx context.Context, s *Store, wait time.Duration, call func(context.Context, connector.Store) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	elsewhere := outcome[T]{err: errNoPeer}
 	onDetour, began := s.way()
 	if onDetour {
-		if out := throughPeers(ctx, s, wait, call); !helps(out.err) {
-			return out.value, out.err
+		if elsewhere = throughPeers(ctx, s, wait, call); !helps(elsewhere.err) {
+			return elsewhere.value, elsewhere.err
 		}
 	}
 	own := make(chan outcome[T], 1)
@@ -116,9 +117,12 @@
 	select {
 	case out := <-own:
 		s.judge(out.err)
-		if !helps(out.err) || ctx.Err() != nil {
+		if !helps(out.err) {
 			return out.value, out.err
 		}
+		if onDetour || ctx.Err() != nil {
+			return better(out, elsewhere)
+		}
 		return better(out, throughPeers(ctx, s, wait, call))
 	case <-hedge.C:
 	case <-began:
@@ -145,20 +149,31 @@
 		}
 		mine := <-own
 		s.judge(mine.err)
-		return mine.value, mine.err
+		return better(mine, out)
 	}
 }
 
 // errSilent stands for a store that answered another host sooner.
 var errSilent = errors.Mark(errors.New("store has not answered in time"), connector.ErrUnknown)
 
-// better returns the outcome of the other hosts if the store has judged the call
-// there. Otherwise the error is one of unknown effect if either is.
-func better[T any](own, peer outcome[T]) (T, error) {
-	if !helps(peer.err) || errors.Is(peer.err, connector.ErrUnknown) {
-		return peer.value, peer.err
+// better returns the outcome in which the store has judged the call, if there is one.
+// An error is of unknown effect if either is: what came of one try says nothing of
+// the other.
+func better[T any](own, elsewhere outcome[T]) (T, error) {
+	best := own
+	if helps(own.err) && !helps(elsewhere.err) {
+		best = elsewhere
 	}
-	return own.value, own.err
+	unknown := errors.Is(own.err, connector.ErrUnknown) || errors.Is(elsewhere.err, connector.ErrUnknown)
+	return best.value, withEffect(best.err, unknown)
+}
+
+// withEffect marks an error as one of unknown effect if that is so.
+func withEffect(err error, unknown bool) error {
+	if err == nil || !unknown {
+		return err
+	}
+	return errors.Mark(err, connector.ErrUnknown)
 }
 
 // errNoPeer marks a call for which no other host is known.
@@ -174,17 +189,15 @@
 		cancel()
 		out = outcome[T]{value, err}
 		if ctx.Err() != nil {
-			return out
+			break
 		}
 		s.noteHelper(address, !helps(err))
 		if !helps(err) {
-			return out
+			break
 		}
 		unknown = unknown || errors.Is(err, connector.ErrUnknown)
 	}
-	if unknown {
-		out.err = errors.Mark(out.err, connector.ErrUnknown)
-	}
+	out.err = withEffect(out.err, unknown)
 	return out
 }
 
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -19,6 +19,12 @@
 
 // peer serves the store as a client of a name reaches it, and returns its address.
 func peer(t *testing.T, store *simulator.Store, name string) string {
+	t.Helper()
+	return serve(t, store.Client(name))
+}
+
+// serve serves a store to other hosts and returns its address.
+func serve(t *testing.T, store connector.Store) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -27,7 +33,7 @@
 	address := ln.Addr().String()
 	_ = ln.Close()
 	rpc, err := messenger.Listen(address, func(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
-		out, _, err := relayer.Serve(ctx, store.Client(name), method, params)
+		out, _, err := relayer.Serve(ctx, store, method, params)
 		return out, err
 	}, zap.NewNop())
 	if err != nil {
@@ -100,6 +106,62 @@
 	}
 }
 
+// scripted is a store whose appends end as told, one after the other.
+type scripted struct {
+	connector.Store
+	outcomes chan error
+}
+
+func (s scripted) Append(context.Context, connector.KeyedAppend) (identifier.Offset, error) {
+	return 0, <-s.outcomes
+}
+
+// TestEffectIsUnknownIfAnyTryWas checks that no order of refusals and lost answers,
+// here and at other hosts, makes a call look as if it had certainly done nothing.
+func TestEffectIsUnknownIfAnyTryWas(t *testing.T) {
+	lost := errors.Mark(errors.New("no answer"), connector.ErrUnknown)
+	busy := errors.Mark(errors.New("turned away"), connector.ErrBusy)
+	tests := map[string]struct {
+		// before is the outcome of an earlier call; a failure begins a detour.
+		before      error
+		own, peer   error
+		ownAfter    time.Duration
+		wantUnknown bool
+	}{
+		"turned away everywhere":                {nil, busy, busy, 0, false},
+		"lost here, turned away elsewhere":      {nil, lost, busy, 0, true},
+		"turned away here, lost elsewhere":      {nil, busy, lost, 0, true},
+		"detour lost, then turned away here":    {busy, busy, lost, 0, true},
+		"detour turned away, then lost here":    {busy, lost, busy, 0, true},
+		"detour turned away, then here as well": {busy, busy, busy, 0, false},
+		"late turned away here, lost elsewhere": {nil, busy, lost, 500 * time.Millisecond, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			own, other := scripted{outcomes: make(chan error, 10)}, scripted{outcomes: make(chan error, 10)}
+			s := relayer.New(own, zap.NewNop())
+			defer s.Close()
+			address := serve(t, other)
+			s.UsePeers(func() []string { return []string{address} })
+			if tt.before != nil {
+				own.outcomes <- tt.before
+				other.outcomes <- nil
+				if err := write(t, s, 1); err != nil {
+					t.Fatal(err)
+				}
+			}
+			time.AfterFunc(tt.ownAfter, func() { own.outcomes <- tt.own })
+			other.outcomes <- tt.peer
+			other.outcomes <- busy
+			err := write(t, s, 2)
+			if err == nil || errors.Is(err, connector.ErrUnknown) != tt.wantUnknown {
+				t.Errorf("error %v, want one of unknown effect: %v", err, tt.wantUnknown)
+			}
+		})
+	}
+}
+
 // TestStoreIsTriedAgain checks that a host goes back to its own way once the store
 // serves it again.
 func TestStoreIsTriedAgain(t *testing.T) {
