--- a/internal/simulator/server_test.go
+++ b/internal/simulator/server_test.go
@@ -52,38 +52,44 @@
 // TestErrorsKeepTheirMeaning checks that a caller learns over the wire why a store
 // did nothing.
 func TestErrorsKeepTheirMeaning(t *testing.T) {
-	store := dialer.NewStore(client0(t), serve(t))
-	ctx := t.Context()
-	appendAs := func(epoch identifier.Epoch, sequence uint64, at *identifier.Offset) error {
-		_, err := store.Append(ctx, connector.KeyedAppend{
-			Topic: "work", At: at, Writer: &connector.WriterID{Name: "holder", Epoch: epoch, Sequence: sequence},
-			Records: []connector.KeyedRecord{{Key: "k", Value: []byte("v")}},
-		})
-		return err
-	}
-	if err := appendAs(2, 0, nil); err != nil {
-		t.Fatal(err)
-	}
 	far := identifier.Offset(99)
 	tests := map[string]struct {
-		call func() error
-		want error
+		epoch identifier.Epoch
+		at    *identifier.Offset
+		want  error
 	}{
-		"repeat":            {func() error { return appendAs(2, 0, nil) }, nil},
-		"lower epoch":       {func() error { return appendAs(1, 0, nil) }, connector.ErrFenced},
-		"condition":         {func() error { return appendAs(3, 0, &far) }, connector.ErrConflict},
-		"nobody at address": {func() error { return dialer.NewStore(client0(t), "127.0.0.1:1").Leave(ctx, "g", "m") }, connector.ErrNotSent},
+		"repeat":       {2, nil, nil},
+		"higher epoch": {3, nil, nil},
+		"lower epoch":  {1, nil, connector.ErrFenced},
+		"condition":    {3, &far, connector.ErrConflict},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			if err := tt.call(); !errors.Is(err, tt.want) {
+			store := dialer.NewStore(client0(t), serve(t))
+			put := func(epoch identifier.Epoch, at *identifier.Offset) error {
+				_, err := store.Append(t.Context(), connector.KeyedAppend{
+					Topic: "work", At: at, Writer: &connector.WriterID{Name: "holder", Epoch: epoch},
+					Records: []connector.KeyedRecord{{Key: "k", Value: []byte("v")}},
+				})
+				return err
+			}
+			if err := put(2, nil); err != nil {
+				t.Fatal(err)
+			}
+			if err := put(tt.epoch, tt.at); !errors.Is(err, tt.want) {
 				t.Errorf("error %v, want %v", err, tt.want)
 			}
+			page, err := store.Newest(t.Context(), "work", 0, "")
+			if err != nil || len(page.Records) != 1 || string(page.Records[0].Value) != "v" {
+				t.Errorf("newest %+v, %v; want one record", page, err)
+			}
 		})
 	}
-	page, err := store.Newest(ctx, "work", 0, "")
-	if err != nil || len(page.Records) != 1 || string(page.Records[0].Value) != "v" {
-		t.Errorf("newest %+v, %v; want one record", page, err)
+}
+
+func TestNobodyAtTheAddress(t *testing.T) {
+	if err := dialer.NewStore(client0(t), "127.0.0.1:1").Leave(t.Context(), "g", "m"); !errors.Is(err, connector.ErrNotSent) {
+		t.Errorf("error %v, want %v", err, connector.ErrNotSent)
 	}
 }
 
