The relay asks peers once; every lost try counts for the effect of a call

Cause: found in reading: a call that was lost on a detour, and then turned away here only after the hedge, was reported as certainly not done; a verdict of the store was returned while the other try was still under way. Change: on a detour the own try is waited for, beside no second round of peers; anything but a success waits for both tries. Figures: the case 'detour lost, then late turned away' of TestEffectIsUnknownIfAnyTryWas fails before.

--- a/internal/planner/adviser.go
+++ b/internal/planner/adviser.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// maxAsked is how many workers an adviser is asked about at a time. It takes
-	// time for each, and on the users' sites lets every other one or so pass.
+	// maxAsked is how many workers an adviser is asked about at a time, since it takes
+	// time for each; the users count on 30 in their objectives.
 	maxAsked = 30
 	// maxQuestions bounds the questions under way, below the 32 at which the users'
 	// adviser turns calls away.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -112,17 +112,19 @@
 		value, err := call(ctx, s.own)
 		own <- outcome[T]{value, err}
 	}()
+	if onDetour {
+		out := <-own
+		s.judge(out.err)
+		return better(out, elsewhere)
+	}
 	hedge := time.NewTimer(wait + hedgeAfter)
 	defer hedge.Stop()
 	select {
 	case out := <-own:
 		s.judge(out.err)
-		if !helps(out.err) {
+		if !helps(out.err) || ctx.Err() != nil {
 			return out.value, out.err
 		}
-		if onDetour || ctx.Err() != nil {
-			return better(out, elsewhere)
-		}
 		return better(out, throughPeers(ctx, s, wait, call))
 	case <-hedge.C:
 	case <-began:
@@ -132,20 +134,19 @@
 	return first(s, own, peer)
 }
 
-// first returns the outcome that comes first and is not to be improved on, or else
-// that of this host.
+// first returns the outcome that comes first and is a success, or else what both say.
 func first[T any](s *Store, own, peer chan outcome[T]) (T, error) {
 	select {
 	case out := <-own:
 		s.judge(out.err)
-		if !helps(out.err) {
-			return out.value, out.err
+		if out.err == nil {
+			return out.value, nil
 		}
 		return better(out, <-peer)
 	case out := <-peer:
-		if !helps(out.err) {
+		if out.err == nil {
 			s.judge(errSilent)
-			return out.value, out.err
+			return out.value, nil
 		}
 		mine := <-own
 		s.judge(mine.err)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -116,6 +116,11 @@
 	return 0, <-s.outcomes
 }
 
+// Owners answers probes: the store goes on turning the host away.
+func (s scripted) Owners(context.Context, string) ([]connector.Ownership, error) {
+	return nil, errors.Mark(errors.New("turned away"), connector.ErrBusy)
+}
+
 // TestEffectIsUnknownIfAnyTryWas checks that no order of refusals and lost answers,
 // here and at other hosts, makes a call look as if it had certainly done nothing.
 func TestEffectIsUnknownIfAnyTryWas(t *testing.T) {
@@ -134,6 +139,7 @@
 		"detour lost, then turned away here":    {busy, busy, lost, 0, true},
 		"detour turned away, then lost here":    {busy, lost, busy, 0, true},
 		"detour turned away, then here as well": {busy, busy, busy, 0, false},
+		"detour lost, then late turned away":    {busy, busy, lost, 500 * time.Millisecond, true},
 		"late turned away here, lost elsewhere": {nil, busy, lost, 500 * time.Millisecond, true},
 	}
 	for name, tt := range tests {
