--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -65,7 +65,7 @@
 			r := refuser.From(err)
 			s.logger.Info("job call refused", zap.String("request", c.Param("id")), zap.ByteString("path", c.Path()),
 				zap.String("code", string(r.Code)), zap.String("effect", string(r.Effect)), logger.Err(err))
-			listener.WriteRefusal(c, statusOf(r), r)
+			listener.WriteRefusal(c, listener.StatusOf(r), r)
 			return
 		}
 		c.JSON(consts.StatusOK, out)
@@ -130,16 +130,3 @@
 	s.logger.Info("job cancelled", zap.String("request", string(id)))
 	return accepted{ID: id}, nil
 }
-
-func statusOf(r *refuser.Refusal) int {
-	switch {
-	case r.Code == refuser.CodeInvalid:
-		return consts.StatusBadRequest
-	case r.Code == refuser.CodeNotFound:
-		return consts.StatusNotFound
-	case r.Effect == refuser.Unknown:
-		return consts.StatusGatewayTimeout
-	default:
-		return consts.StatusServiceUnavailable
-	}
-}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -40,6 +40,23 @@
 	c.JSON(status, r)
 }
 
+// StatusOf returns the HTTP status of a refusal about a job. Only one of unknown
+// effect tells that the job may run.
+func StatusOf(r *refuser.Refusal) int {
+	switch {
+	case r.Effect == refuser.Unknown:
+		return consts.StatusGatewayTimeout
+	case r.Code == refuser.CodeNotFound:
+		return consts.StatusNotFound
+	case r.Code == refuser.CodeInvalid:
+		return consts.StatusBadRequest
+	case r.Code == refuser.CodeOverloaded:
+		return consts.StatusTooManyRequests
+	default:
+		return consts.StatusServiceUnavailable
+	}
+}
+
 // readBody reads a request's body up to a limit, so that a larger one gets a
 // refusal; the library would answer with plain text.
 func readBody(limit int) app.HandlerFunc {
