--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -26,8 +26,8 @@
 	// how long it waits before any place does.
 	lateSlack    estimator.Slack = 1.1
 	lastPatience                 = 20 * time.Second
-	// harmfulPressure is the pressure from which a pair counts as harmful in
-	// reports: a scavenger on a tenth of a worker takes 0.4 of slack.
+	// harmfulPressure is the pressure from which a pair is kept apart while the
+	// scavenger is patient: on a tenth of a worker it takes 0.4 of slack.
 	harmfulPressure = 4
 	// mildLoss is the expected loss of slack up to which a tail still tells how long
 	// it would be without scavengers.
@@ -271,8 +271,7 @@
 	return estimator.SlackOf(r.task.group.step.TailTarget.Std(), r.tail)
 }
 
-// isMild reports whether a load takes little slack from a serving image, and how
-// much is known.
+// isMild reports whether a load is known to take little slack from a serving image.
 func (p *Planner) isMild(serving identifier.Image, load estimator.Load) bool {
 	for scavenger := range load {
 		if !p.harm.Known(serving, scavenger) {
