--- a/internal/planner/pacer.go
+++ b/internal/planner/pacer.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -113,17 +114,7 @@
 		images = append(images, image)
 	}
 	slices.SortFunc(images, func(a, b identifier.Image) int {
-		pa, pb := p.harm.Pressure(serving, a), p.harm.Pressure(serving, b)
-		switch {
-		case pa > pb:
-			return -1
-		case pa < pb:
-			return 1
-		case a < b:
-			return -1
-		default:
-			return 1
-		}
+		return cmp.Or(cmp.Compare(p.harm.Pressure(serving, b), p.harm.Pressure(serving, a)), cmp.Compare(a, b))
 	})
 	return images
 }
--- a/internal/simulator/server_test.go
+++ b/internal/simulator/server_test.go
@@ -43,7 +43,7 @@
 	return address
 }
 
-func client0(t *testing.T) *messenger.Client {
+func rpcClient(t *testing.T) *messenger.Client {
 	c := messenger.NewClient()
 	t.Cleanup(c.Close)
 	return c
@@ -65,7 +65,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			store := dialer.NewStore(client0(t), serve(t))
+			store := dialer.NewStore(rpcClient(t), serve(t))
 			put := func(epoch identifier.Epoch, at *identifier.Offset) error {
 				_, err := store.Append(t.Context(), connector.KeyedAppend{
 					Topic: "work", At: at, Writer: &connector.WriterID{Name: "holder", Epoch: epoch},
@@ -88,7 +88,7 @@
 }
 
 func TestNobodyAtTheAddress(t *testing.T) {
-	if err := dialer.NewStore(client0(t), "127.0.0.1:1").Leave(t.Context(), "g", "m"); !errors.Is(err, connector.ErrNotSent) {
+	if err := dialer.NewStore(rpcClient(t), "127.0.0.1:1").Leave(t.Context(), "g", "m"); !errors.Is(err, connector.ErrNotSent) {
 		t.Errorf("error %v, want %v", err, connector.ErrNotSent)
 	}
 }
@@ -96,7 +96,7 @@
 // TestWorkerOverTheWire starts a run and looks until its end.
 func TestWorkerOverTheWire(t *testing.T) {
 	address := serve(t)
-	runner := dialer.NewRunner(client0(t))
+	runner := dialer.NewRunner(rpcClient(t))
 	to := connector.WorkerTarget{ID: "w", Address: address}
 	look, err := runner.Hold(t.Context(), to, connector.HoldOrder{Epoch: 1})
 	if err != nil || look.Verdict != connector.VerdictOK {
@@ -119,7 +119,7 @@
 
 // TestDirectoryShowsEvacuations checks that an evacuation is seen and taken back.
 func TestDirectoryShowsEvacuations(t *testing.T) {
-	address, rpc := serve(t), client0(t)
+	address, rpc := serve(t), rpcClient(t)
 	seen := make(chan connector.Directory, 100)
 	d := dialer.NewDirectory(rpc, address, zap.NewNop(), func(d connector.Directory) { seen <- d })
 	ctx, cancel := context.WithCancel(t.Context())
