--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -193,13 +193,5 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, refuser.New(refuser.CodeInvalid, "%v", err)
 	}
-	h, ok := s.held(in.Cell)
-	if !ok {
-		return nil, notHeld()
-	}
-	n, err := h.Waiting(in.Queue)
-	if err != nil {
-		return nil, refuser.New(refuser.CodeUnavailable, "%v", err)
-	}
-	return n, nil
+	return askHere(s, in.Cell, func(h Holder) (int, error) { return h.Waiting(in.Queue) })
 }
--- a/internal/intake/report.go
+++ b/internal/intake/report.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -62,9 +61,7 @@
 		all.Jobs = append(all.Jobs, out.Jobs...)
 		all.More = all.More || out.More
 	}
-	slices.SortFunc(all.Jobs, func(a, b submitter.Report) int {
-		return cmp.Or(cmp.Compare(a.Submitted, b.Submitted), cmp.Compare(a.ID, b.ID))
-	})
+	slices.SortFunc(all.Jobs, submitter.Report.Compare)
 	return all, nil
 }
 
@@ -74,15 +71,10 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, refuser.New(refuser.CodeInvalid, "%v", err)
 	}
-	h, ok := s.held(identifier.CellOf(in.ID, s.cells))
-	if !ok {
-		return nil, notHeld()
-	}
-	value, known, err := here(h, ctx, in.ID)
-	if err != nil {
-		return nil, refuser.New(refuser.CodeUnavailable, "%v", err)
-	}
-	return answer[T]{known, value}, nil
+	return askHere(s, identifier.CellOf(in.ID, s.cells), func(h Holder) (answer[T], error) {
+		value, known, err := here(h, ctx, in.ID)
+		return answer[T]{known, value}, err
+	})
 }
 
 func (s *Service) handleList(params json.RawMessage) (any, error) {
@@ -90,17 +82,18 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, refuser.New(refuser.CodeInvalid, "%v", err)
 	}
-	h, ok := s.held(in.Cell)
+	return askHere(s, in.Cell, func(h Holder) (submitter.Reports, error) { return h.List(in.Selection) })
+}
+
+// askHere asks the holder of a cell for another host, if it is this one.
+func askHere[T any](s *Service, cell identifier.Cell, ask func(Holder) (T, error)) (any, error) {
+	h, ok := s.held(cell)
 	if !ok {
-		return nil, notHeld()
+		return nil, refuser.New(refuser.CodeNotReady, "the cell is not held here")
 	}
-	out, err := h.List(in.Selection)
+	out, err := ask(h)
 	if err != nil {
 		return nil, refuser.New(refuser.CodeUnavailable, "%v", err)
 	}
 	return out, nil
 }
-
-func notHeld() *refuser.Refusal {
-	return refuser.New(refuser.CodeNotReady, "the cell is not held here")
-}
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -122,12 +122,9 @@
 }
 
 // Err returns the field of an error, without its stack; nothing for nil.
-func Err(err error) zap.Field { return NamedErr("error", err) }
-
-// NamedErr returns the field of an error under another name.
-func NamedErr(name string, err error) zap.Field {
+func Err(err error) zap.Field {
 	if err == nil {
 		return zap.Skip()
 	}
-	return zap.String(name, err.Error())
+	return zap.String("error", err.Error())
 }
--- a/internal/planner/adviser.go
+++ b/internal/planner/adviser.go
@@ -74,7 +74,7 @@
 // candidates returns the best workers for a group of which the adviser was not asked.
 func (p *Planner) candidates(g *group) []identifier.Worker {
 	t := g.firstReady()
-	d := p.demandOf(t)
+	d := p.demandOf(t, p.patience(t.group))
 	type candidate struct {
 		id    identifier.Worker
 		score float64
--- a/internal/planner/explainer.go
+++ b/internal/planner/explainer.go
@@ -96,7 +96,7 @@
 
 // explainTask counts the workers by what keeps a task from them.
 func (p *Planner) explainTask(t *task) string {
-	d := p.demandOf(t)
+	d := p.demandOf(t, p.patience(t.group))
 	counts := map[obstacle]int{}
 	for _, w := range p.workers {
 		counts[p.obstacleTo(t, w, d)]++
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 	"github.com/balsamcove/balsamcove/pkg/submitter"
@@ -38,12 +39,13 @@
 		p.placeGang(g)
 		return
 	}
+	patience := p.patience(g)
 	for i := range g.tasks {
 		t := &g.tasks[i]
 		if t.phase != taskReady || p.now.Before(t.notBefore) {
 			continue
 		}
-		p.placeTask(t, full)
+		p.placeTask(t, p.demandOf(t, patience), full)
 	}
 }
 
@@ -60,11 +62,12 @@
 	patient bool
 }
 
-func (p *Planner) demandOf(t *task) demand {
+// demandOf returns the demand of a task; patience is that of its group.
+func (p *Planner) demandOf(t *task, patience time.Duration) demand {
 	d := demand{service: t.group.job.queue.Service, kind: kindOf(t.group.step)}
 	if d.kind == loadScavenger {
 		d.image = t.group.step.Image
-		d.patient = p.now.Sub(t.readyAt) < p.patience(t.group.job)
+		d.patient = p.now.Sub(t.readyAt) < patience
 	}
 	return d
 }
@@ -98,9 +101,8 @@
 	return false
 }
 
-func (p *Planner) placeTask(t *task, full fullSizes) {
+func (p *Planner) placeTask(t *task, d demand, full fullSizes) {
 	step := t.group.step
-	d := p.demandOf(t)
 	if full.covers(d, step.Size) {
 		return
 	}
@@ -290,7 +292,7 @@
 			saved = c
 		}
 	}
-	d := p.demandOf(&g.tasks[0])
+	d := p.demandOf(&g.tasks[0], p.patience(g))
 	claimed := make([]*run, 0, len(g.tasks))
 	for i := range g.tasks {
 		t := &g.tasks[i]
--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -67,10 +67,14 @@
 	return j.objective.Sub(p.now) - rest
 }
 
-// patience returns how long a scavenger of a job waits for a place where it harms
-// nobody. One whose job is late anyway waits longest: haste does not serve it.
-func (p *Planner) patience(j *job) time.Duration {
-	spare := p.toSpare(j)
+// patience returns how long the scavengers of a group wait for a place where they
+// harm nobody; it is zero for other tasks. Those whose job is late anyway wait
+// longest: haste does not serve them.
+func (p *Planner) patience(g *group) time.Duration {
+	if !g.step.Scavenger {
+		return 0
+	}
+	spare := p.toSpare(g.job)
 	if spare < 0 {
 		return maxPatience
 	}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/balsamcove/balsamcove/pkg/identifier"
@@ -29,9 +28,7 @@
 			out.Jobs = append(out.Jobs, reportOf(j))
 		}
 	}
-	slices.SortFunc(out.Jobs, func(a, b submitter.Report) int {
-		return cmp.Or(cmp.Compare(a.Submitted, b.Submitted), cmp.Compare(a.ID, b.ID))
-	})
+	slices.SortFunc(out.Jobs, submitter.Report.Compare)
 	if len(out.Jobs) > maxListed {
 		out.Jobs, out.More = out.Jobs[:maxListed], true
 	}
--- a/internal/planner/straggler.go
+++ b/internal/planner/straggler.go
@@ -82,7 +82,7 @@
 		return
 	}
 	t.failedOn = r.worker.id
-	w := p.choose(t, p.demandOf(t))
+	w := p.choose(t, p.demandOf(t, p.patience(t.group)))
 	if w == nil || w == r.worker {
 		return
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -43,7 +43,6 @@
 type Store struct {
 	own    connector.Store
 	rpc    *messenger.Client
-	logger *zap.Logger
 	source logger.Dependency
 
 	mu    sync.Mutex
@@ -60,7 +59,7 @@
 // New returns a store that this host reaches by own; it has no peers yet.
 func New(own connector.Store, l *zap.Logger) *Store {
 	return &Store{
-		own: own, rpc: messenger.NewClient(messenger.WithSilentDropped()), logger: l,
+		own: own, rpc: messenger.NewClient(messenger.WithSilentDropped()),
 		source:   logger.Dependency{Name: "store, by this host itself", Logger: l},
 		peers:    func() []string { return nil },
 		onDetour: make(chan struct{}), closed: make(chan struct{}),
--- a/pkg/submitter/report.go
+++ b/pkg/submitter/report.go
@@ -1,6 +1,10 @@
 package submitter
 
-import "github.com/balsamcove/balsamcove/pkg/identifier"
+import (
+	"cmp"
+
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+)
 
 // Report is what a caller is told about a job.
 type Report struct {
@@ -15,6 +19,11 @@
 	Steps     []StepReport          `json:"steps"`
 }
 
+// Compare orders reports by when their jobs were submitted.
+func (r Report) Compare(o Report) int {
+	return cmp.Or(cmp.Compare(r.Submitted, o.Submitted), cmp.Compare(r.ID, o.ID))
+}
+
 // StepReport counts the tasks of a step by how far they are, over all occurrences
 // that are due.
 type StepReport struct {
