Spread the calls of workers over the hosts; the largest hosts hold cells

It renews too few leases (2,490 of 4,691 watched runs lapse), falls behind with events, runs out of descriptors, and an error of accept ends it. Ruled out: processor time alone. Change: internal/carrier gives the calls of a holder to hosts that offer themselves, in batches over one connection each, most to the largest hosts of the worker's data centre; orders older than their timeouts are dropped by a host that was suspended. Holders of few workers call them directly as before, so that small sites do not change. internal/announcer tells hosts of each other's size; only the largest join the group that deals cells while one of them holds any. Accept is tried again after an error. Events wait in a queue that drops none.

--- /dev/null
+++ b/internal/carrier/pool.go
@@ -0,0 +1,294 @@
+// Package carrier spreads the calls of workers over hosts. The holder of a cell
+// decides; hosts that offered themselves make the calls and tell the answers, both in
+// batches. A Pool is the holder's side and implements connector.Runner; a Host is the
+// side of those that make the calls.
+//
+// Nothing about safety rests on a host's good timing: every order carries the epoch
+// and, if it begins or prolongs work, a time of the worker's clock, by which the
+// worker refuses a late one. A host drops orders that are older than their timeouts,
+// so that one which was suspended acts on none of them.
+package carrier
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/logger"
+	"github.com/balsamcove/balsamcove/internal/messenger"
+	"github.com/balsamcove/balsamcove/internal/sleeper"
+	"github.com/balsamcove/balsamcove/internal/uptimer"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/refuser"
+)
+
+const (
+	// silence is after how long without a message a host is not given calls any more:
+	// three beats.
+	silence = 1300 * time.Millisecond
+	// sweepPeriod is how often silent hosts are looked for.
+	sweepPeriod = 200 * time.Millisecond
+	// gatherTime is how long a new holder waits for hosts before it calls workers by
+	// itself although they are more than it can carry.
+	gatherTime = time.Second
+	// gatherPause is the time between two looks for one meanwhile.
+	gatherPause = 20 * time.Millisecond
+)
+
+// errHostGone marks a call whose host was lost before it told the answer.
+var errHostGone = errors.Mark(errors.New("the host that calls the worker is gone"), connector.ErrUnknown)
+
+// Pool makes the calls of a holder through the hosts that offered themselves, or by
+// itself while its workers are few. Its methods are safe for concurrent use.
+type Pool struct {
+	own    connector.Runner
+	direct int
+	logger *zap.Logger
+	uptime func() time.Duration
+
+	mu       sync.Mutex
+	open     bool
+	openedAt time.Time
+	workers  map[identifier.Worker]connector.WorkerEntry
+	assigner *assigner[messenger.Peer]
+	sessions map[messenger.Peer]*session
+}
+
+// NewPool returns a pool that makes calls by own while the workers are at most direct.
+func NewPool(own connector.Runner, direct int, log *zap.Logger) *Pool {
+	return &Pool{
+		own: own, direct: direct, logger: log, uptime: uptimer.Now,
+		assigner: newAssigner[messenger.Peer](), sessions: map[messenger.Peer]*session{},
+	}
+}
+
+// Open makes the pool accept offers, since this host holds a cell now.
+func (p *Pool) Open() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.open {
+		p.open, p.openedAt = true, time.Now()
+	}
+}
+
+// Close sends all hosts away, since this host holds no cell any more.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.open = false
+	sessions := p.sessions
+	p.sessions = map[messenger.Peer]*session{}
+	p.assigner = newAssigner[messenger.Peer]()
+	p.mu.Unlock()
+	for _, s := range sessions {
+		s.close()
+	}
+}
+
+// SetWorkers tells which workers there are.
+func (p *Pool) SetWorkers(workers map[identifier.Worker]connector.WorkerEntry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.workers = workers
+	p.assigner.forget(func(id identifier.Worker) bool {
+		_, ok := workers[id]
+		return ok
+	})
+}
+
+// Loads returns how many workers each host calls.
+func (p *Pool) Loads() map[identifier.Entry]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.assigner.loads()
+}
+
+// Run lets silent hosts go until ctx ends.
+func (p *Pool) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleeper.Pause(ctx, sweepPeriod)
+		for _, s := range p.silent() {
+			p.logger.Warn("host that calls workers is silent", zap.String("host", string(s.offer.Name)))
+			s.close()
+		}
+	}
+	p.Close()
+	return nil
+}
+
+func (p *Pool) silent() []*session {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []*session
+	for _, s := range p.sessions {
+		if s.silentFor() > silence {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Handle answers the messages of hosts; ok is false for a message of another kind.
+func (p *Pool) Handle(ctx context.Context, method messenger.Method, params json.RawMessage) (out any, ok bool, err error) {
+	switch method {
+	case messenger.MethodOffer:
+		return nil, true, p.offered(ctx, params)
+	case messenger.MethodAnswers:
+		return nil, true, p.answered(ctx, params)
+	default:
+		return nil, false, nil
+	}
+}
+
+func (p *Pool) offered(ctx context.Context, params json.RawMessage) error {
+	var o Offer
+	if err := json.Unmarshal(params, &o); err != nil || o.Name == "" || o.Workers <= 0 {
+		return refuser.New(refuser.CodeInvalid, "malformed offer %q: %v", params, err)
+	}
+	peer, ok := messenger.PeerFrom(ctx)
+	if !ok {
+		return refuser.New(refuser.CodeInvalid, "an offer needs a connection")
+	}
+	s := newSession(peer, o, p.uptime)
+	if !p.admit(peer, s) {
+		return refuser.New(refuser.CodeUnavailable, "this host holds no cell")
+	}
+	p.logger.Info("host offers to call workers", zap.String("host", string(o.Name)), zap.String("hostDataCentre", string(o.DataCentre)), zap.Int("workers", o.Workers))
+	go func() {
+		err := s.run(context.Background())
+		p.dismiss(peer, s)
+		p.logger.Info("host does not call workers any more", zap.String("host", string(o.Name)), logger.Err(err))
+	}()
+	return nil
+}
+
+func (p *Pool) admit(peer messenger.Peer, s *session) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.open {
+		return false
+	}
+	p.sessions[peer] = s
+	p.assigner.add(peer, s.offer)
+	return true
+}
+
+func (p *Pool) dismiss(peer messenger.Peer, s *session) {
+	p.mu.Lock()
+	if p.sessions[peer] == s {
+		delete(p.sessions, peer)
+		p.assigner.remove(peer)
+	}
+	p.mu.Unlock()
+	s.close()
+}
+
+func (p *Pool) answered(ctx context.Context, params json.RawMessage) error {
+	peer, _ := messenger.PeerFrom(ctx)
+	p.mu.Lock()
+	s, ok := p.sessions[peer]
+	p.mu.Unlock()
+	if !ok {
+		return refuser.New(refuser.CodeConflict, "no offer was made over this connection")
+	}
+	var in batch
+	if err := json.Unmarshal(params, &in); err != nil {
+		return refuser.New(refuser.CodeInvalid, "%v", err)
+	}
+	replies, err := decode[[]reply](in.Content)
+	if err != nil {
+		p.logger.Error("answers cannot be read", zap.String("host", string(s.offer.Name)), logger.Err(err))
+		return refuser.New(refuser.CodeInvalid, "%v", err)
+	}
+	s.receive(replies)
+	return nil
+}
+
+// sessionOf returns the host that calls a worker, or nil if this host does itself.
+func (p *Pool) sessionOf(id identifier.Worker) *session {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.workers) <= p.direct {
+		return nil
+	}
+	peer, ok := p.assigner.hostOf(id, p.workers[id].DataCentre, time.Now())
+	if !ok {
+		return nil
+	}
+	return p.sessions[peer]
+}
+
+// gathering reports whether hosts may still come that this one needs.
+func (p *Pool) gathering() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open && len(p.workers) > p.direct && len(p.sessions) == 0 && time.Since(p.openedAt) < gatherTime
+}
+
+// carry makes a call through a host; ok is false if this host is to make it itself.
+func (p *Pool) carry(ctx context.Context, to connector.WorkerTarget, o order, spec string) (r reply, ok bool, err error) {
+	s := p.sessionOf(to.ID)
+	for s == nil && p.gathering() && ctx.Err() == nil {
+		sleeper.Pause(ctx, gatherPause)
+		s = p.sessionOf(to.ID)
+	}
+	if s == nil {
+		return reply{}, false, nil
+	}
+	o.Worker, o.Address = to.ID, to.Address
+	if deadline, bounded := ctx.Deadline(); bounded {
+		o.Timeout = time.Until(deadline)
+	}
+	r, err = s.do(ctx, o, spec)
+	if err == nil {
+		err = r.err()
+	}
+	if err != nil {
+		p.mu.Lock()
+		p.assigner.unreachable(to.ID, s.peer, time.Now())
+		p.mu.Unlock()
+	}
+	return r, true, err
+}
+
+// Start implements connector.Runner.
+func (p *Pool) Start(ctx context.Context, to connector.WorkerTarget, o connector.RunOrder) (connector.OrderAnswer, error) {
+	r, ok, err := p.carry(ctx, to, order{
+		Kind: orderStart, Run: nameOf(o.Run), Epoch: o.Epoch, LeaseUntil: &o.LeaseUntil, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
+	}, o.Spec)
+	if !ok {
+		return p.own.Start(ctx, to, o)
+	}
+	return r.answer(), err
+}
+
+// Stop implements connector.Runner.
+func (p *Pool) Stop(ctx context.Context, to connector.WorkerTarget, run connector.RunID, epoch identifier.Epoch) (connector.OrderAnswer, error) {
+	r, ok, err := p.carry(ctx, to, order{Kind: orderStop, Run: nameOf(run), Epoch: epoch}, "")
+	if !ok {
+		return p.own.Stop(ctx, to, run, epoch)
+	}
+	return r.answer(), err
+}
+
+// Pace implements connector.Runner.
+func (p *Pool) Pace(ctx context.Context, to connector.WorkerTarget, run connector.RunID, percent int, epoch identifier.Epoch) (connector.OrderAnswer, error) {
+	r, ok, err := p.carry(ctx, to, order{Kind: orderPace, Run: nameOf(run), Percent: percent, Epoch: epoch}, "")
+	if !ok {
+		return p.own.Pace(ctx, to, run, percent, epoch)
+	}
+	return r.answer(), err
+}
+
+// Hold implements connector.Runner.
+func (p *Pool) Hold(ctx context.Context, to connector.WorkerTarget, o connector.HoldOrder) (connector.HoldAnswer, error) {
+	r, ok, err := p.carry(ctx, to, order{Kind: orderHold, Epoch: o.Epoch, LeaseUntil: o.LeaseUntil, Forget: o.Forget, Wait: o.Wait}, "")
+	if !ok {
+		return p.own.Hold(ctx, to, o)
+	}
+	return r.hold(), err
+}
--- /dev/null
+++ b/internal/carrier/session.go
@@ -0,0 +1,130 @@
+package carrier
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/messenger"
+)
+
+// specifiedOrder is an order with the spec of its run.
+type specifiedOrder struct {
+	order
+	spec string
+}
+
+// session is a host that makes calls for this holder, as long as its connection lasts.
+type session struct {
+	peer   messenger.Peer
+	offer  Offer
+	orders *sender[specifiedOrder]
+
+	mu      sync.Mutex
+	number  uint64
+	pending map[uint64]chan reply
+	heardAt time.Time
+	closed  bool
+}
+
+func newSession(peer messenger.Peer, o Offer, uptime func() time.Duration) *session {
+	return &session{
+		peer: peer, offer: o, orders: newSender(peer, messenger.MethodOrders, uptime, pack),
+		pending: map[uint64]chan reply{}, heardAt: time.Now(),
+	}
+}
+
+// pack makes a batch in which each spec stands once.
+func pack(list []specifiedOrder) any {
+	out := orders{List: make([]order, 0, len(list))}
+	places := map[string]int{}
+	for _, o := range list {
+		if o.spec != "" {
+			place, ok := places[o.spec]
+			if !ok {
+				out.Specs = append(out.Specs, o.spec)
+				place = len(out.Specs)
+				places[o.spec] = place
+			}
+			o.Spec = place
+		}
+		out.List = append(out.List, o.order)
+	}
+	return out
+}
+
+// run sends orders until the connection ends.
+func (s *session) run(ctx context.Context) error {
+	err := s.orders.run(ctx)
+	s.close()
+	return err
+}
+
+// close ends the connection; calls under way fail.
+func (s *session) close() {
+	s.peer.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for number, ch := range s.pending {
+		delete(s.pending, number)
+		close(ch)
+	}
+}
+
+func (s *session) silentFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.heardAt)
+}
+
+// do makes a call through the host and waits for the answer.
+func (s *session) do(ctx context.Context, o order, spec string) (reply, error) {
+	ch, number, ok := s.expect()
+	if !ok {
+		return reply{}, errors.Mark(errHostGone, connector.ErrNotSent)
+	}
+	o.Number = number
+	s.orders.put(specifiedOrder{o, spec})
+	select {
+	case r, answered := <-ch:
+		if !answered {
+			return reply{}, errHostGone
+		}
+		return r, nil
+	case <-ctx.Done():
+		s.mu.Lock()
+		delete(s.pending, number)
+		s.mu.Unlock()
+		return reply{}, errors.Mark(errors.Wrapf(ctx.Err(), "no answer through %s", s.offer.Name), connector.ErrUnknown)
+	}
+}
+
+func (s *session) expect() (ch chan reply, number uint64, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil, 0, false
+	}
+	s.number++
+	ch = make(chan reply, 1)
+	s.pending[s.number] = ch
+	return ch, s.number, true
+}
+
+// receive hands replies to those who wait; one that nobody waits for is dropped, since
+// its call counts as unanswered already.
+func (s *session) receive(replies []reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heardAt = time.Now()
+	for _, r := range replies {
+		if ch, ok := s.pending[r.Number]; ok {
+			delete(s.pending, r.Number)
+			ch <- r
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/queue.go
@@ -0,0 +1,46 @@
+package dispatcher
+
+import (
+	"sync"
+	"time"
+
+	"github.com/balsamcove/balsamcove/internal/planner"
+)
+
+// eventQueue holds the events that wait for the planner. Its methods are safe for
+// concurrent use.
+type eventQueue struct {
+	// ready has a token while events wait.
+	ready chan struct{}
+
+	mu     sync.Mutex
+	events []planner.Event
+	// since is when the oldest of them came.
+	since time.Time
+}
+
+func newEventQueue() *eventQueue { return &eventQueue{ready: make(chan struct{}, 1)} }
+
+func (q *eventQueue) put(e planner.Event) {
+	q.mu.Lock()
+	if len(q.events) == 0 {
+		q.since = time.Now()
+	}
+	q.events = append(q.events, e)
+	q.mu.Unlock()
+	select {
+	case q.ready <- struct{}{}:
+	default:
+	}
+}
+
+// take returns all events and how long the oldest has waited.
+func (q *eventQueue) take() (events []planner.Event, waited time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.events) == 0 {
+		return nil, 0
+	}
+	events, q.events = q.events, nil
+	return events, time.Since(q.since)
+}
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -29,10 +29,6 @@
 	inboxWait = 900 * time.Millisecond
 	// retryPause is the pause after a failed call of the store.
 	retryPause = 60 * time.Millisecond
-	// eventBuffer is how many events may wait for the planner.
-	eventBuffer = 4096
-	// batchEvents bounds the events that the planner takes at once.
-	batchEvents = 256
 	// gatherPerWorker is the time for which events gather, by the number of
 	// workers, since each pass of the planner looks at all of them; maxGather
 	// bounds the delay that this adds to a start.
@@ -41,7 +37,7 @@
 	// storeTimeout bounds one call of the store.
 	storeTimeout = 1500 * time.Millisecond
 	// poolSize bounds the orders under way at the same time.
-	poolSize = 4096
+	poolSize = 16384
 )
 
 // ErrSuperseded marks the end of a term because another holder has begun.
@@ -74,7 +70,7 @@
 	valid    func() bool
 	unseen   func() time.Duration
 
-	events chan planner.Event
+	events *eventQueue
 	save   chan struct{}
 	pool   *ants.Pool
 
@@ -107,7 +103,7 @@
 		adviser: noAdviser{},
 		logger:  logger.With(zap.Int("cell", int(cell))),
 		valid:   func() bool { return true }, unseen: func() time.Duration { return 0 },
-		events: make(chan planner.Event, eventBuffer),
+		events: newEventQueue(),
 		save:   make(chan struct{}, 1),
 	}
 	for _, o := range opts {
@@ -137,33 +133,26 @@
 	return g.Wait()
 }
 
-// Notify hands an event to the planner. It never blocks: an event that finds no
-// room is dropped with a log line, and the next look or read brings its content
-// again.
-func (t *Term) Notify(e planner.Event) {
-	select {
-	case t.events <- e:
-	default:
-		t.logger.Error("event dropped, planner is behind", zap.Any("event", e))
-	}
-}
+// Notify hands an event to the planner. It never blocks, and no event is lost; those
+// that wait are bounded by the orders under way.
+func (t *Term) Notify(e planner.Event) { t.events.put(e) }
 
 // plan feeds the planner until ctx ends.
 func (t *Term) plan(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	var batch []planner.Event
 	for {
-		batch = batch[:0]
 		select {
-		case e := <-t.events:
-			batch = append(batch, e)
+		case <-t.events.ready:
 		case <-timer.C:
 		case <-ctx.Done():
 			return nil
 		}
 		sleeper.Pause(ctx, t.gatherTime())
-		batch = t.drain(batch)
+		batch, waited := t.events.take()
+		if waited > slowEvents {
+			t.logger.Warn("planner is behind", zap.Duration("waitedMs", waited), zap.Int("events", len(batch)))
+		}
 		wake, err := t.update(ctx, batch)
 		if err != nil {
 			return err
@@ -172,6 +161,10 @@
 	}
 }
 
+// slowEvents is how long an event may wait before that is worth a log line: an order
+// counts as unanswered after twice as long.
+const slowEvents = 200 * time.Millisecond
+
 // gatherTime returns how long events gather before the planner takes them.
 func (t *Term) gatherTime() time.Duration {
 	t.mu.Lock()
@@ -179,18 +172,6 @@
 	return min(time.Duration(t.planner.Workers())*gatherPerWorker, maxGather)
 }
 
-func (t *Term) drain(batch []planner.Event) []planner.Event {
-	for len(batch) < batchEvents {
-		select {
-		case e := <-t.events:
-			batch = append(batch, e)
-		default:
-			return batch
-		}
-	}
-	return batch
-}
-
 // update runs the planner once and carries its commands out.
 func (t *Term) update(ctx context.Context, batch []planner.Event) (wake time.Time, err error) {
 	t.mu.Lock()
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -42,7 +42,8 @@
 	logger   *zap.Logger
 	changed  func(held []identifier.Cell)
 
-	uptime func() time.Duration
+	uptime    func() time.Duration
+	candidate func() bool
 
 	mu sync.Mutex
 	// renewedAt is the uptime at which the last renewal that succeeded was sent.
@@ -58,6 +59,12 @@
 	return func(e *Elector) { e.uptime = uptime }
 }
 
+// WithCandidacy sets what is asked before each renewal whether this host may hold
+// cells. One that may not gives its cells back; by default every host may.
+func WithCandidacy(candidate func() bool) Option {
+	return func(e *Elector) { e.candidate = candidate }
+}
+
 // New returns a membership that has not begun. Changed is called with the cells
 // that this host holds whenever they change; those that are missing must not be
 // acted for any more when it returns.
@@ -65,7 +72,8 @@
 	began := time.Now()
 	e := &Elector{
 		settings: s, store: store, logger: logger, changed: changed, renewedAt: never,
-		uptime: func() time.Duration { return time.Since(began) },
+		uptime:    func() time.Duration { return time.Since(began) },
+		candidate: func() bool { return true },
 	}
 	for _, o := range opts {
 		o(e)
@@ -87,29 +95,27 @@
 	return e.uptime() - e.renewedAt
 }
 
-// Run keeps the membership until ctx ends, then gives all cells back.
+// membership is what a member knows of its place in the group.
+type membership struct {
+	held       []identifier.Cell
+	generation uint64
+	joined     bool
+}
+
+// Run keeps the membership while this host may hold cells, until ctx ends, then gives
+// all cells back.
 func (e *Elector) Run(ctx context.Context) error {
-	var held []identifier.Cell
-	var generation uint64
-	membership := logger.Dependency{Name: "group membership", Logger: e.logger}
+	m := &membership{}
+	source := logger.Dependency{Name: "group membership", Logger: e.logger}
 	for ctx.Err() == nil {
-		sent, sentUp := time.Now(), e.uptime()
-		m, err := e.join(ctx, generation)
-		membership.Report(err)
+		sent := time.Now()
 		wait := e.settings.TTL / renewPart
-		if err == nil {
-			e.renewed(sentUp)
-			next := e.cellsOf(m)
-			if !slices.Equal(held, next) {
-				e.logger.Info("cells change", zap.Any("from", held), zap.Any("to", next), zap.Uint64("generation", m.Generation))
-				held = next
-				e.changed(held)
-			}
-			if m.Generation != generation {
-				// The store hands partitions on once this is known to it.
-				wait = 0
-			}
-			generation = m.Generation
+		switch {
+		case e.candidate():
+			err := e.renew(ctx, m, &wait)
+			source.Report(err)
+		case m.joined:
+			e.resign(m)
 		}
 		sleeper.Pause(ctx, wait-time.Since(sent))
 	}
@@ -118,6 +124,38 @@
 	return nil
 }
 
+// renew renews the membership and tells of cells that came or went. Wait becomes zero
+// if the store has to know at once that this was done.
+func (e *Elector) renew(ctx context.Context, m *membership, wait *time.Duration) error {
+	sent := e.uptime()
+	answer, err := e.join(ctx, m.generation)
+	if err != nil {
+		return err
+	}
+	e.renewed(sent)
+	m.joined = true
+	next := e.cellsOf(answer)
+	if !slices.Equal(m.held, next) {
+		e.logger.Info("cells change", zap.Any("from", m.held), zap.Any("to", next), zap.Uint64("generation", answer.Generation))
+		m.held = next
+		e.changed(next)
+	}
+	if answer.Generation != m.generation {
+		// The store hands partitions on once this is known to it.
+		*wait = 0
+	}
+	m.generation = answer.Generation
+	return nil
+}
+
+// resign leaves the group to larger hosts.
+func (e *Elector) resign(m *membership) {
+	e.logger.Info("cells are left to larger hosts", zap.Any("held", m.held))
+	e.changed(nil)
+	e.leave()
+	*m = membership{}
+}
+
 func (e *Elector) join(ctx context.Context, generation uint64) (connector.Membership, error) {
 	ctx, cancel := context.WithTimeout(ctx, e.settings.TTL/2)
 	defer cancel()
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -25,7 +25,7 @@
 
 func newService(store connector.Store) *Service {
 	rpc := messenger.NewClient()
-	locator := NewLocator(store, "self", zap.NewNop())
+	locator := NewLocator(store, "self", 1, zap.NewNop())
 	return New(store, rpc, locator, 1, func(identifier.Cell) (Holder, bool) { return nil, false }, zap.NewNop())
 }
 
--- a/internal/intake/locator.go
+++ b/internal/intake/locator.go
@@ -41,19 +41,21 @@
 type Locator struct {
 	store  connector.Store
 	self   string
+	cells  int
 	logger *zap.Logger
 
 	mu      sync.Mutex
 	holders map[identifier.Cell]string
+	owners  []string
 	peers   []string
 	last    time.Time
 	busy    chan struct{}
 }
 
 // NewLocator returns a locator that knows nobody yet. Self is this host's
-// address for other hosts.
-func NewLocator(store connector.Store, self string, logger *zap.Logger) *Locator {
-	return &Locator{store: store, self: self, logger: logger, holders: map[identifier.Cell]string{}, busy: make(chan struct{}, 1)}
+// address for other hosts, and cells the number of cells.
+func NewLocator(store connector.Store, self string, cells int, logger *zap.Logger) *Locator {
+	return &Locator{store: store, self: self, cells: cells, logger: logger, holders: map[identifier.Cell]string{}, busy: make(chan struct{}, 1)}
 }
 
 // Run looks the holders up from time to time until ctx ends.
@@ -72,6 +74,26 @@
 	return l.holders[cell]
 }
 
+// Holders returns the addresses of other hosts that hold cells.
+func (l *Locator) Holders() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for cell := range l.cells {
+		if a := l.holders[identifier.Cell(cell)]; a != "" && a != l.self && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Owners returns the addresses of the members of the group that have a part of it.
+func (l *Locator) Owners() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.owners)
+}
+
 // Peers returns the addresses of the other hosts.
 func (l *Locator) Peers() []string {
 	l.mu.Lock()
@@ -101,7 +123,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.last = time.Now()
-	if len(owners) > 0 {
+	if err == nil {
 		l.learn(owners)
 	}
 }
@@ -116,10 +138,15 @@
 // while they are few.
 func (l *Locator) learn(owners []connector.Ownership) {
 	clear(l.holders)
+	l.owners = nil
 	peers := l.peers
 	for _, o := range owners {
 		address := addressOf(o.Member)
+		if address == "" {
+			continue
+		}
 		l.holders[identifier.Cell(o.Partition)] = address
+		l.owners = append(l.owners, address)
 		if address != l.self && !slices.Contains(peers, address) {
 			peers = append(peers, address)
 		}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -109,7 +109,10 @@
 func Listen(address string) (net.Listener, error) {
 	var cfg net.ListenConfig
 	ln, err := cfg.Listen(context.Background(), "tcp", address)
-	return ln, errors.Wrapf(err, "listen on %s", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	return &persistent{Listener: ln, closed: make(chan struct{})}, nil
 }
 
 // Run serves until ctx ends.
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -56,6 +56,13 @@
 	MethodVerify    Method = "verify"
 )
 
+// The messages between the holder of a cell and a host that calls workers for it.
+const (
+	MethodOffer   Method = "offer"
+	MethodOrders  Method = "orders"
+	MethodAnswers Method = "answers"
+)
+
 const (
 	codeRefused = 1
 	dialTimeout = time.Second
@@ -122,12 +129,17 @@
 	}
 }
 
-func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+func (s *Server) handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	return answer(ctx, s.handler, conn, req)
+}
+
+// answer lets a handler answer a call that came over a connection.
+func answer(ctx context.Context, handler Handler, conn *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 	var params json.RawMessage
 	if req.Params != nil {
 		params = *req.Params
 	}
-	out, err := s.handler(ctx, Method(req.Method), params)
+	out, err := handler(context.WithValue(ctx, peerKey{}, Peer{conn}), Method(req.Method), params)
 	if err == nil {
 		return out, nil
 	}
--- /dev/null
+++ b/internal/supervisor/candidate.go
@@ -0,0 +1,40 @@
+package supervisor
+
+import (
+	"sync"
+	"time"
+)
+
+// standInAfter is how long a host that is not of the largest kind waits for a larger
+// one to hold cells before it does so itself: longer than the locator's 3 s between two
+// look-ups, and than a membership lasts after the death of its host.
+const standInAfter = 4 * time.Second
+
+// candidacy decides whether a host may hold cells. The holder decides for all workers,
+// so that the largest hosts do so while there is one.
+type candidacy struct {
+	cores   float64
+	largest func() (cores float64, known bool)
+	owners  func() []string
+	coresOf func(address string) float64
+
+	mu sync.Mutex
+	// largerSeen is when a larger host was last known to hold cells.
+	largerSeen time.Time
+}
+
+// candidate reports whether this host may hold cells now.
+func (c *candidacy) candidate() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if largest, known := c.largest(); known && c.cores >= largest {
+		return true
+	}
+	for _, address := range c.owners() {
+		if c.coresOf(address) > c.cores {
+			c.largerSeen = time.Now()
+			return false
+		}
+	}
+	return time.Since(c.largerSeen) > standInAfter
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -13,6 +13,8 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/balsamcove/balsamcove/internal/announcer"
+	"github.com/balsamcove/balsamcove/internal/carrier"
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/dispatcher"
 	"github.com/balsamcove/balsamcove/internal/elector"
@@ -42,8 +44,13 @@
 	// Life tells apart the processes that use the same name.
 	Life string
 	// Peers is the address for calls of other hosts.
-	Peers string
-	Cells int
+	Peers      string
+	Cells      int
+	DataCentre identifier.DataCentre
+	// Workers is how many workers this host can call by itself, or for another host.
+	Workers int
+	// Cores is this host's share of processors; the largest hosts hold the cells.
+	Cores float64
 	// MemberTTL is how long the store keeps a host that sends nothing.
 	MemberTTL time.Duration
 	Term      dispatcher.Settings
@@ -53,16 +60,18 @@
 type Supervisor struct {
 	settings  Settings
 	store     *relayer.Store
-	runner    connector.Runner
+	pool      *carrier.Pool
+	carrier   *carrier.Host
 	directory Directory
 	adviser   connector.Adviser
 	logger    *zap.Logger
 	planLog   planner.Log
 
-	rpc     *messenger.Client
-	locator *intake.Locator
-	intake  *intake.Service
-	elector *elector.Elector
+	rpc       *messenger.Client
+	announcer *announcer.Announcer
+	locator   *intake.Locator
+	intake    *intake.Service
+	elector   *elector.Elector
 
 	mu    sync.Mutex
 	terms map[identifier.Cell]*termRun
@@ -87,16 +96,23 @@
 	member := intake.MemberName(s.Name, s.Life, s.Peers)
 	s.Term.Member = member
 	sup := &Supervisor{
-		settings: s, store: store, runner: runner, directory: directory, logger: logger, planLog: planLog,
-		rpc: messenger.NewClient(messenger.WithSilentDropped()), terms: map[identifier.Cell]*termRun{},
+		settings: s, store: store, directory: directory, logger: logger, planLog: planLog,
+		pool: carrier.NewPool(runner, s.Workers, logger),
+		rpc:  messenger.NewClient(messenger.WithSilentDropped()), terms: map[identifier.Cell]*termRun{},
 	}
-	sup.locator = intake.NewLocator(store, s.Peers, logger)
+	sup.locator = intake.NewLocator(store, s.Peers, s.Cells, logger)
+	sup.carrier = carrier.NewHost(carrier.Offer{Name: s.Name, DataCentre: s.DataCentre, Workers: s.Workers}, runner, sup.locator, logger)
 	store.UsePeers(sup.locator.Peers)
+	sup.announcer = announcer.New(s.Name, announcer.Announcement{Address: s.Peers, Cores: s.Cores}, store, logger)
+	candidacy := &candidacy{
+		cores: s.Cores, largest: sup.announcer.Largest, owners: sup.locator.Owners, coresOf: sup.announcer.CoresOf, largerSeen: time.Now(),
+	}
 	for _, o := range opts {
 		o(sup)
 	}
 	sup.intake = intake.New(store, sup.rpc, sup.locator, s.Cells, sup.heldHere, logger)
-	sup.elector = elector.New(elector.Settings{Member: member, Cells: s.Cells, TTL: s.MemberTTL}, store, logger, sup.cellsChanged, elector.WithUptime(uptimer.Now))
+	sup.elector = elector.New(elector.Settings{Member: member, Cells: s.Cells, TTL: s.MemberTTL}, store, logger, sup.cellsChanged,
+		elector.WithUptime(uptimer.Now), elector.WithCandidacy(candidacy.candidate))
 	return sup
 }
 
@@ -106,6 +122,7 @@
 // DirectoryChanged tells the terms under way about a new state of the
 // directory.
 func (s *Supervisor) DirectoryChanged(d connector.Directory) {
+	s.pool.SetWorkers(d.Workers)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range s.terms {
@@ -138,6 +155,9 @@
 	g.Go(func() error { return server.Run(ctx) })
 	g.Go(func() error { return s.directory.Run(ctx) })
 	g.Go(func() error { return s.locator.Run(ctx) })
+	g.Go(func() error { return s.announcer.Run(ctx) })
+	g.Go(func() error { return s.pool.Run(ctx) })
+	g.Go(func() error { return s.carrier.Run(ctx) })
 	g.Go(func() error {
 		member, cancel := context.WithCancel(ctx)
 		defer cancel()
@@ -147,12 +167,15 @@
 	return g.Wait()
 }
 
-// handle answers the calls of other hosts: about jobs, and those of a store for a
-// host that the store does not answer.
+// handle answers the calls of other hosts: about jobs, those of a store for a host
+// that the store does not answer, and of hosts that call workers.
 func (s *Supervisor) handle(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
 	if out, ok, err := relayer.Serve(ctx, s.store.Own(), method, params); ok {
 		return out, err
 	}
+	if out, ok, err := s.pool.Handle(ctx, method, params); ok {
+		return out, err
+	}
 	return s.intake.Handle(ctx, method, params)
 }
 
@@ -176,6 +199,11 @@
 		t.stop()
 		<-t.done
 	}
+	if len(held) == 0 {
+		s.pool.Close()
+		return
+	}
+	s.pool.Open()
 	for _, cell := range held {
 		s.beginTerm(cell)
 	}
@@ -214,7 +242,7 @@
 	if s.adviser != nil {
 		opts = append(opts, dispatcher.WithAdviser(s.adviser))
 	}
-	return dispatcher.NewTerm(cell, settings, s.store, s.runner, s.logger, opts...)
+	return dispatcher.NewTerm(cell, settings, s.store, s.pool, s.logger, opts...)
 }
 
 // runTerm runs a term, and a new one after each that failed, until ctx ends.
