--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,12 +24,12 @@
 	now     []identifier.Cell
 }
 
-func join(ctx context.Context, store *simulator.Store, name string) *candidate {
+func join(ctx context.Context, store *simulator.Store, name string, opts ...Option) *candidate {
 	c := &candidate{held: make(chan []identifier.Cell, 100)}
 	ctx, c.stop = context.WithCancel(ctx)
 	c.elector = New(Settings{Member: name, Cells: 2, TTL: testTTL}, store.Client(name), zap.NewNop(), func(held []identifier.Cell) {
 		c.held <- slices.Clone(held)
-	})
+	}, opts...)
 	go func() { _ = c.elector.Run(ctx) }()
 	return c
 }
@@ -129,3 +130,30 @@
 		t.Fatal("valid after a suspension as long as the membership")
 	}
 }
+
+// TestHostThatMayNotHoldLeaves checks that a host gives its cells back once it may not
+// hold any, that another has them soon, and that it joins again when it may.
+func TestHostThatMayNotHoldLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer settle(cancel)
+		store := simulator.NewStore(2, 1)
+		var barred atomic.Bool
+		a := join(ctx, store, "a", WithCandidacy(func() bool { return !barred.Load() }))
+		b := join(ctx, store, "b")
+		time.Sleep(2 * time.Second)
+		if got := len(a.cells()) + len(b.cells()); got != 2 {
+			t.Fatalf("%d cells are held, want 2", got)
+		}
+		barred.Store(true)
+		time.Sleep(testTTL)
+		if len(a.cells()) != 0 || len(b.cells()) != 2 {
+			t.Fatalf("the members hold %v and %v, want none and both", a.now, b.now)
+		}
+		barred.Store(false)
+		time.Sleep(2 * time.Second)
+		if len(a.cells()) != 1 || len(b.cells()) != 1 {
+			t.Fatalf("the members hold %v and %v, want one each", a.now, b.now)
+		}
+	})
+}
--- /dev/null
+++ b/internal/supervisor/candidate_test.go
@@ -0,0 +1,45 @@
+package supervisor
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestLargestHostsHoldCells checks which hosts may hold cells, at once and after a
+// while.
+func TestLargestHostsHoldCells(t *testing.T) {
+	sizes := map[string]float64{"large": 0.8, "small": 0.2}
+	tests := map[string]struct {
+		largest float64
+		known   bool
+		owners  []string
+		atOnce  bool
+		later   bool
+	}{
+		"of the largest kind":       {0.2, true, []string{"small"}, true, true},
+		"a larger one holds":        {0.8, true, []string{"small", "large"}, false, false},
+		"no larger one holds":       {0.8, true, []string{"small"}, false, true},
+		"nobody holds":              {0.8, true, nil, false, true},
+		"sizes are not known yet":   {0.2, false, nil, false, true},
+		"owner is not known":        {0.8, true, []string{"other"}, false, true},
+		"all hosts are of one size": {0.2, true, nil, true, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &candidacy{
+					cores: 0.2, largest: func() (float64, bool) { return tt.largest, tt.known },
+					owners: func() []string { return tt.owners }, coresOf: func(a string) float64 { return sizes[a] }, largerSeen: time.Now(),
+				}
+				if got := c.candidate(); got != tt.atOnce {
+					t.Errorf("candidate at once: %v, want %v", got, tt.atOnce)
+				}
+				time.Sleep(standInAfter + time.Millisecond)
+				if got := c.candidate(); got != tt.later {
+					t.Errorf("candidate later: %v, want %v", got, tt.later)
+				}
+			})
+		})
+	}
+}
