Look at the workers once a step, and only at those that need it in a pass

Ruled out: a change of where tasks go; a property compares the new choice with one comparison a task. Change: the places for fresh tasks of a step stand in a heap; workers with a look under way or in good health are in no list that a pass visits; the most that any worker has left is known once a pass.

--- a/internal/planner/adviser_test.go
+++ b/internal/planner/adviser_test.go
@@ -21,7 +21,7 @@
 	b.update(0)
 	for i := range 3 {
 		id := identifier.Worker(fmt.Sprint("w", i+1))
-		b.p.workers[id].holding = false
+		b.p.setHolding(b.p.workers[id], false)
 		b.update(0)
 		b.look(id, connector.HoldAnswer{Born: 1})
 	}
--- /dev/null
+++ b/internal/planner/choice.go
@@ -0,0 +1,83 @@
+package planner
+
+import (
+	"container/heap"
+)
+
+// choice holds the places for tasks of a step that are alike, the best first. It
+// answers steps of many tasks on many workers: each worker is looked at once a step,
+// and after a claim only the one that was claimed.
+type choice struct {
+	demand demand
+	quiet  float64
+	places places
+}
+
+// place is a worker and how good it is.
+type place struct {
+	worker *worker
+	score  float64
+}
+
+// places is a heap of places, the best on top.
+type places []place
+
+func (l places) Len() int { return len(l) }
+
+func (l places) Less(i, k int) bool {
+	if l[i].score != l[k].score {
+		return l[i].score > l[k].score
+	}
+	return l[i].worker.id < l[k].worker.id
+}
+
+func (l places) Swap(i, k int) { l[i], l[k] = l[k], l[i] }
+
+// Push implements heap.Interface.
+func (l *places) Push(x any) { *l = append(*l, x.(place)) }
+
+// Pop implements heap.Interface.
+func (l *places) Pop() any {
+	old := *l
+	last := old[len(old)-1]
+	*l = old[:len(old)-1]
+	return last
+}
+
+// isFresh reports whether a task has not run yet, so that it is like the others of its
+// step that have not.
+func (t *task) isFresh() bool { return t.attempt == 0 && t.failedOn == "" }
+
+// newChoice finds the places for fresh tasks like one of a step.
+func (p *Planner) newChoice(t *task, d demand) *choice {
+	c := &choice{demand: d}
+	if d.kind == loadScavenger {
+		c.quiet = p.needOfQuiet(t.group.step.Image)
+	}
+	for _, w := range p.workers {
+		if p.obstacleTo(t, w, d) == obstacleNone {
+			c.places = append(c.places, place{w, p.score(t, w, d.kind, c.quiet)})
+		}
+	}
+	heap.Init(&c.places)
+	return c
+}
+
+// next returns the best place for a task, or nil. A place whose score has changed
+// since it was found goes back to where it belongs.
+func (p *Planner) next(t *task, c *choice) *worker {
+	for len(c.places) > 0 {
+		top := &c.places[0]
+		if p.obstacleTo(t, top.worker, c.demand) != obstacleNone {
+			heap.Pop(&c.places)
+			continue
+		}
+		score := p.score(t, top.worker, c.demand.kind, c.quiet)
+		if score >= top.score {
+			return top.worker
+		}
+		top.score = score
+		heap.Fix(&c.places, 0)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/planner/choice_test.go
@@ -0,0 +1,87 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
+)
+
+// TestChoiceEqualsTheBestPlaceEachTime checks that the tasks of a step go where they
+// would if all workers were compared anew for each task.
+func TestChoiceEqualsTheBestPlaceEachTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.UnixMilli(1_000_000)
+		dir := connector.Directory{
+			Version: 1, Queues: map[identifier.Queue]connector.QueueConfig{queue: queueConfig}, OperatorSeen: now, WorkersSeen: now,
+			Workers: map[identifier.Worker]connector.WorkerEntry{},
+		}
+		for i := range rapid.IntRange(1, 12).Draw(t, "workers") {
+			e := workerEntry(identifier.Worker(fmt.Sprintf("w%02d", i)))
+			e.Capacity = identifier.Size{
+				Processors: identifier.Millicores(rapid.IntRange(1, 8).Draw(t, "cores") * 1000), Memory: identifier.Mebibytes(rapid.IntRange(1, 9).Draw(t, "memory") * 1000),
+			}
+			e.Rack = identifier.Rack(rapid.SampledFrom([]string{"r1-1", "r1-2"}).Draw(t, "rack"))
+			dir.Workers[e.ID] = e
+		}
+		kind := rapid.SampledFrom([]loadKind{loadPlain, loadServing, loadScavenger})
+		var steps []submitter.Step
+		for range rapid.IntRange(1, 3).Draw(t, "steps") {
+			s := submitter.Step{Count: rapid.IntRange(1, 12).Draw(t, "count"), Size: small, Image: identifier.Image(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "image"))}
+			switch kind.Draw(t, "kind") {
+			case loadServing:
+				s.LongRunning, s.TailTarget = true, identifier.Duration(time.Second)
+			case loadScavenger:
+				s.Scavenger = true
+			case loadPlain:
+				s.MaxPerWorker = rapid.IntRange(0, 2).Draw(t, "most")
+				s.DataRack = identifier.Rack(rapid.SampledFrom([]string{"", "r1-1"}).Draw(t, "data"))
+			}
+			steps = append(steps, s)
+		}
+		together, oneByOne := placements(dir, now, steps, false), placements(dir, now, steps, true)
+		for name, w := range oneByOne {
+			if together[name] != w {
+				t.Fatalf("%s goes to %q, want %q", name, together[name], w)
+			}
+		}
+		if len(together) != len(oneByOne) {
+			t.Fatalf("%d tasks are placed, want %d", len(together), len(oneByOne))
+		}
+	})
+}
+
+// placements returns where the tasks of a job's steps go.
+func placements(dir connector.Directory, now time.Time, steps []submitter.Step, oneByOne bool) map[identifier.JobTask]identifier.Worker {
+	p := New(epoch, now, Settings{Lease: 5 * time.Second, Inherited: time.Second, Fresh: time.Hour})
+	for _, c := range p.Update(now, DirectoryChanged{dir}) {
+		if h, ok := c.(HoldWorker); ok {
+			p.Inform(now, HoldAnswered{Worker: h.To.ID, Order: h.Order, SentAt: now, Answer: connector.HoldAnswer{OrderAnswer: connector.OrderAnswer{Verdict: connector.VerdictOK}}})
+		}
+	}
+	p.Inform(now, JobSubmitted{Job: submitter.Job{ID: "00000000000000aa", Queue: queue, Steps: steps}, Queue: queueConfig})
+	if oneByOne {
+		for _, g := range p.jobs["00000000000000aa"].occurrences[0] {
+			for i := range g.tasks {
+				t := &g.tasks[i]
+				if w := p.choose(t, p.demandOf(t, p.patience(g))); w != nil {
+					p.claim(t, w, 1)
+				}
+			}
+		}
+	} else {
+		p.Update(now)
+	}
+	out := map[identifier.JobTask]identifier.Worker{}
+	for id, w := range p.workers {
+		for r := range w.runs {
+			out[r.Task] = id
+		}
+	}
+	return out
+}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -35,8 +35,8 @@
 
 // hold looks at the workers whose turn it is.
 func (p *Planner) hold() {
-	for _, w := range p.workers {
-		if w.holding || !w.listed || p.now.Before(w.nextHold) {
+	for w := range p.idle {
+		if !w.listed || p.now.Before(w.nextHold) {
 			continue
 		}
 		if w.unsaved && w.current && p.now.Sub(w.heardAt) < unsavedPause {
@@ -59,10 +59,20 @@
 	if sameLife && !w.unsaved && !w.inDoubt() {
 		order.Wait = w.holdWait()
 	}
-	w.holding = true
+	p.setHolding(w, true)
 	p.emit(HoldWorker{To: w.target(), Order: order})
 }
 
+// setHolding notes whether a look at a worker is under way.
+func (p *Planner) setHolding(w *worker, holding bool) {
+	w.holding = holding
+	if holding {
+		delete(p.idle, w)
+		return
+	}
+	p.idle[w] = struct{}{}
+}
+
 // holdWait returns how long the worker may wait for an end before it answers.
 func (w *worker) holdWait() time.Duration {
 	if w.serving > 0 && len(w.scavengersBy) > 0 {
@@ -86,7 +96,7 @@
 	if !ok {
 		return
 	}
-	w.holding = false
+	p.setHolding(w, false)
 	w.nextHold = p.now
 	if e.Err != nil {
 		p.holdUnanswered(w, e.Err)
@@ -109,6 +119,7 @@
 
 func (p *Planner) holdUnanswered(w *worker, err error) {
 	w.misses++
+	p.doubted[w] = struct{}{}
 	w.nextHold = p.now.Add(min(time.Duration(w.misses)*missPause, maxMissPause))
 	if w.misses == 1 {
 		p.log.WorkerSilent(w.id, p.now.Sub(later(w.heardAt, p.began)), err)
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -146,6 +146,7 @@
 func (p *Planner) workerReplaced(w *worker) {
 	p.log.WorkerChanged(w.id, "replaced")
 	w.current = false
+	p.doubted[w] = struct{}{}
 	p.loseRuns(w)
 }
 
@@ -175,22 +176,22 @@
 // expireSilentWorkers gives up the runs of workers whose leases have certainly
 // run out.
 func (p *Planner) expireSilentWorkers() {
-	for id, w := range p.workers {
+	for w := range p.doubted {
 		if w.current && w.misses == 0 && w.listed {
+			delete(p.doubted, w)
 			continue
 		}
 		if p.now.Before(w.leaseEnd) || w.heardAt.After(w.leaseEnd) {
 			continue
 		}
 		if len(w.runs) > 0 {
-			p.log.WorkerChanged(id, "lease expired")
+			p.log.WorkerChanged(w.id, "lease expired")
 			p.loseRuns(w)
 			w.sequence++
 			w.current = false
 		}
 		if !w.listed && len(w.runs) == 0 {
-			p.sequenceFloor = max(p.sequenceFloor, w.sequence)
-			delete(p.workers, id)
+			p.forgetWorker(w)
 		}
 	}
 }
--- a/internal/planner/pacer_test.go
+++ b/internal/planner/pacer_test.go
@@ -42,7 +42,7 @@
 
 // lookAt answers the next look with the slack that the watch has.
 func (m mixed) lookAt(after time.Duration, slack estimator.Slack) []Command {
-	m.p.workers["w"].holding = false
+	m.p.setHolding(m.p.workers["w"], false)
 	m.update(after)
 	m.look("w", connector.HoldAnswer{Active: []connector.ActiveRun{
 		{Run: m.watch.Order.Run, Percent: 100, Tail: time.Duration(float64(time.Second) / float64(slack))},
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -13,7 +13,7 @@
 	if len(p.waiting) == 0 || !p.fresh() {
 		return
 	}
-	full := fullSizes{}
+	full := p.newFullSizes()
 	for _, j := range p.waitingJobs() {
 		for _, groups := range j.occurrences {
 			for _, g := range groups {
@@ -31,7 +31,7 @@
 		p.now.Sub(p.directory.WorkersSeen) <= p.settings.Fresh
 }
 
-func (p *Planner) placeGroup(g *group, full fullSizes) {
+func (p *Planner) placeGroup(g *group, full *fullSizes) {
 	if g.ready == 0 {
 		return
 	}
@@ -40,17 +40,72 @@
 		return
 	}
 	patience := p.patience(g)
+	var c *choice
 	for i := range g.tasks {
 		t := &g.tasks[i]
 		if t.phase != taskReady || p.now.Before(t.notBefore) {
 			continue
 		}
-		p.placeTask(t, p.demandOf(t, patience), full)
+		d := p.demandOf(t, patience)
+		if full.covers(d, g.step.Size) {
+			continue
+		}
+		if !t.isFresh() {
+			p.placeOn(t, p.choose(t, d), d, full)
+			continue
+		}
+		if c == nil || c.demand != d {
+			c = p.newChoice(t, d)
+		}
+		p.placeOn(t, p.next(t, c), d, full)
 	}
 }
 
-// fullSizes remembers, for one pass, sizes for which no room was found.
-type fullSizes map[demand][]identifier.Size
+// fullSizes remembers, for one pass, sizes for which no room was found, and the most
+// that any worker had left when the pass began: under overload most tasks need no
+// look at the workers.
+type fullSizes struct {
+	sizes map[demand][]identifier.Size
+	most  map[identifier.Service]mostRoom
+}
+
+// mostRoom is the most of each kind that some usable worker of a service has left.
+type mostRoom struct {
+	room  identifier.Size
+	spare identifier.Millicores
+}
+
+func (p *Planner) newFullSizes() *fullSizes {
+	f := &fullSizes{sizes: map[demand][]identifier.Size{}, most: map[identifier.Service]mostRoom{}}
+	for _, w := range p.workers {
+		if !p.usable(w) {
+			continue
+		}
+		m := f.most[w.entry.Service]
+		m.room = m.room.Max(w.room())
+		m.spare = max(m.spare, w.spare())
+		f.most[w.entry.Service] = m
+	}
+	return f
+}
+
+func (f *fullSizes) add(d demand, size identifier.Size) { f.sizes[d] = append(f.sizes[d], size) }
+
+func (f *fullSizes) covers(d demand, size identifier.Size) bool {
+	for _, s := range f.sizes[d] {
+		if s.Fits(size) {
+			return true
+		}
+	}
+	most := f.most[d.service]
+	if d.kind == loadScavenger {
+		if most.spare < size.Processors {
+			return true
+		}
+		size.Processors = 0
+	}
+	return !size.Fits(most.room)
+}
 
 // demand tells apart tasks that compete for the same room. Scavengers of
 // different images may be kept from different workers.
@@ -92,24 +147,12 @@
 	}
 }
 
-func (f fullSizes) covers(d demand, size identifier.Size) bool {
-	for _, s := range f[d] {
-		if s.Fits(size) {
-			return true
-		}
-	}
-	return false
-}
-
-func (p *Planner) placeTask(t *task, d demand, full fullSizes) {
+// placeOn claims a worker for a task, or notes that none was found.
+func (p *Planner) placeOn(t *task, w *worker, d demand, full *fullSizes) {
 	step := t.group.step
-	if full.covers(d, step.Size) {
-		return
-	}
-	w := p.choose(t, d)
 	if w == nil {
 		if step.Label == "" && step.MaxPerWorker == 0 && !t.group.job.queue.Advised {
-			full[d] = append(full[d], step.Size)
+			full.add(d, step.Size)
 		}
 		return
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -68,6 +68,10 @@
 	scheduled map[*job]struct{}
 	waiting   map[*job]struct{}
 	workers   map[identifier.Worker]*worker
+	// idle are the workers without a look under way; doubted are those that may have
+	// to be given up. Other workers need nothing from a pass.
+	idle    map[*worker]struct{}
+	doubted map[*worker]struct{}
 	// sequenceFloor is the highest sequence of a worker that was forgotten; one
 	// that comes back must not get a lower epoch than it has seen.
 	sequenceFloor uint64
@@ -115,6 +119,8 @@
 		scheduled:         map[*job]struct{}{},
 		waiting:           map[*job]struct{}{},
 		workers:           map[identifier.Worker]*worker{},
+		idle:              map[*worker]struct{}{},
+		doubted:           map[*worker]struct{}{},
 		dirty:             map[*job]struct{}{},
 		ends:              map[*worker]identifier.EndNumber{},
 		harm:              estimator.New(),
@@ -219,8 +225,8 @@
 // NextWake returns when Update has to be called again even without an event.
 func (p *Planner) NextWake() time.Time {
 	next := p.now.Add(maxSleep)
-	for _, w := range p.workers {
-		if !w.listed || w.holding {
+	for w := range p.idle {
+		if !w.listed {
 			continue
 		}
 		due := w.nextHold
--- a/internal/planner/planner_bench_test.go
+++ b/internal/planner/planner_bench_test.go
@@ -37,7 +37,7 @@
 // and ends, without I/O.
 func BenchmarkJob(b *testing.B) {
 	const tasks = 8
-	for _, workers := range []int{66, 178, 490} {
+	for _, workers := range []int{66, 490, 1800, 4800} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			p, now := benchPlanner(workers)
 			ends := map[identifier.Worker]identifier.EndNumber{}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -162,7 +162,7 @@
 	s := b.startOne(submitter.Step{Count: 1, Size: small})
 	b.confirm(s)
 	b.update(0)
-	b.p.workers["w"].holding = false
+	b.p.setHolding(b.p.workers["w"], false)
 	b.update(0)
 	b.end(s, 5, connector.EndDone)
 	if state, _ := b.p.State("00000000000000aa"); state == StateCompleted {
@@ -196,7 +196,8 @@
 			b.update(0)
 			b.look("w", connector.HoldAnswer{})
 			w := b.p.workers["w"]
-			w.forget, w.holding, w.nextHold = 5, false, b.now.Add(tt.quiet)
+			w.forget, w.nextHold = 5, b.now.Add(tt.quiet)
+			b.p.setHolding(w, false)
 			b.update(tt.quiet)
 			hold, ok := find[HoldWorker](b.commands, func(HoldWorker) bool { return true })
 			if !ok || hold.Order.Forget != tt.forget {
@@ -218,7 +219,7 @@
 	if n := len(b.starts()); n != 1 {
 		t.Fatalf("%d repeats of the start, want 1", n)
 	}
-	b.p.workers["w"].holding = false
+	b.p.setHolding(b.p.workers["w"], false)
 	b.update(400*time.Millisecond, fail)
 	hold, ok := find[HoldWorker](b.commands, func(HoldWorker) bool { return true })
 	if !ok || hold.Order.Epoch <= s.Order.Epoch {
@@ -243,12 +244,14 @@
 	b := newBench(t, workerEntry("w"), workerEntry("v"))
 	b.update(0)
 	b.look("w", connector.HoldAnswer{})
-	b.p.workers["v"].holding = true
+	b.p.setHolding(b.p.workers["v"], true)
 	s := b.startOne(submitter.Step{Count: 1, Size: small})
 	b.confirm(s)
 	w := b.p.workers["w"]
 	lease := w.leaseEnd.Sub(b.now)
-	w.holding, w.misses, w.nextHold = true, 3, b.now.Add(time.Hour)
+	w.misses, w.nextHold = 3, b.now.Add(time.Hour)
+	b.p.setHolding(w, true)
+	b.p.doubted[w] = struct{}{}
 	b.p.workers["v"].current = true
 	b.update(lease - 10*time.Millisecond)
 	if w.runs[s.Order.Run] == nil {
@@ -288,7 +291,7 @@
 			if len(b.starts()) != 0 {
 				t.Fatal("started before the worker answered")
 			}
-			b.p.workers["w"].holding = false
+			b.p.setHolding(b.p.workers["w"], false)
 			b.update(time.Millisecond)
 			b.look("w", tt.answer)
 			b.save()
@@ -313,7 +316,7 @@
 	s := b.starts()[0]
 	b.confirm(s)
 	b.update(0, JobCancelled{ID: "00000000000000aa"})
-	b.p.workers["w"].holding = false
+	b.p.setHolding(b.p.workers["w"], false)
 	b.update(0)
 	b.end(s, 1, connector.EndDone)
 	b.save()
@@ -338,12 +341,12 @@
 	s := b.startOne(submitter.Step{Count: 1, Size: small})
 	for n := range identifier.EndNumber(2) {
 		b.confirm(s)
-		b.p.workers["w"].holding = false
+		b.p.setHolding(b.p.workers["w"], false)
 		b.update(0)
 		b.end(s, n+1, connector.EndFailed)
 		b.save()
 		b.update(2 * time.Second)
-		b.p.workers["w"].holding = false
+		b.p.setHolding(b.p.workers["w"], false)
 		b.update(0)
 		b.look("w", connector.HoldAnswer{})
 		b.save()
@@ -531,7 +534,7 @@
 	w := b.p.workers["w"]
 	w.sequence = 5
 	seen := b.p.epochOf(w)
-	w.holding = true
+	b.p.setHolding(w, true)
 	delete(b.dir.Workers, "w")
 	b.update(time.Minute)
 	if b.p.workers["w"] != nil {
@@ -563,7 +566,7 @@
 			s := b.startOne(submitter.Step{Count: 1, Size: small, LongRunning: true, TailTarget: target, Image: "watch"})
 			b.confirm(s)
 			b.p.harm.Set("watch", "light", 0)
-			b.p.workers["w"].holding = false
+			b.p.setHolding(b.p.workers["w"], false)
 			b.update(0)
 			b.look("w", connector.HoldAnswer{Active: []connector.ActiveRun{{Run: s.Order.Run, Percent: 100, Tail: tt.tail}}})
 			b.submit("00000000000000ab", submitter.Step{Count: 1, Size: small, Scavenger: true, Image: "light"})
@@ -600,12 +603,15 @@
 			for n, how := range tt.ends {
 				b.confirm(s)
 				w := b.p.workers["w"]
-				w.holding, w.misses = true, 3
+				w.misses = 3
+				b.p.setHolding(w, true)
+				b.p.doubted[w] = struct{}{}
 				b.update(w.leaseEnd.Sub(b.now) + time.Millisecond)
 				if r := w.runs[s.Order.Run]; r != nil {
 					t.Fatalf("run in phase %d not given up %v after the lease", r.phase, b.now.Sub(w.leaseEnd))
 				}
-				w.holding, w.nextHold = false, b.now
+				w.nextHold = b.now
+				b.p.setHolding(w, false)
 				b.update(0)
 				ended = append(ended, connector.EndedRun{Number: identifier.EndNumber(n + 1), Run: s.Order.Run, How: how})
 				b.look("w", connector.HoldAnswer{OrderAnswer: clock(), Born: 1, Ended: ended})
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -117,10 +117,21 @@
 			scavengerShares: estimator.Load{}, slack: ampleSlack,
 		}
 		p.workers[id] = w
+		p.idle[w] = struct{}{}
+		p.doubted[w] = struct{}{}
 	}
 	return w
 }
 
+// forgetWorker removes a worker that has certainly nothing to do any more. Its epoch
+// is remembered.
+func (p *Planner) forgetWorker(w *worker) {
+	p.sequenceFloor = max(p.sequenceFloor, w.sequence)
+	delete(p.workers, w.id)
+	delete(p.idle, w)
+	delete(p.doubted, w)
+}
+
 // leaseUntil returns the worker's time up to which an order sent now extends
 // the lease, and remembers when that is over for certain.
 func (p *Planner) leaseUntil(w *worker) connector.WorkerClock {
@@ -234,6 +245,7 @@
 	for id, w := range p.workers {
 		if _, ok := d.Workers[id]; !ok {
 			w.listed = false
+			p.doubted[w] = struct{}{}
 		}
 	}
 }
--- a/pkg/identifier/size.go
+++ b/pkg/identifier/size.go
@@ -45,6 +45,11 @@
 	return Size{s.Processors - o.Processors, s.Memory - o.Memory, s.Accelerators - o.Accelerators}
 }
 
+// Max returns the larger of s and o in each dimension.
+func (s Size) Max(o Size) Size {
+	return Size{max(s.Processors, o.Processors), max(s.Memory, o.Memory), max(s.Accelerators, o.Accelerators)}
+}
+
 // Fits reports whether s is no larger than room in any dimension.
 func (s Size) Fits(room Size) bool {
 	return s.Processors <= room.Processors && s.Memory <= room.Memory && s.Accelerators <= room.Accelerators
