Look for places for waiting scavengers at a bounded rate

Cause: under overload every pass compares all workers anew for each image of the scavengers that wait: 12 to 17 ms a pass with 1,800 workers and 30 images (BenchmarkScavengersWait). Ruled out: the transport between hosts (2,000 starts a second of a profiled load took 0.4 of a core for five hosts and the stand-ins together), the answer of a mixed worker (17 us with 12 runs). Change: a size for which a scavenger found no place is not looked for again for 100 us a worker (6.6 ms with 66 workers, 180 ms with 1,800); events gather up to 25 ms by the number of waiting jobs. Conclusion: a pass no longer grows with images times workers.

--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -29,11 +29,14 @@
 	inboxWait = 900 * time.Millisecond
 	// retryPause is the pause after a failed call of the store.
 	retryPause = 60 * time.Millisecond
-	// gatherPerWorker is the time for which events gather, by the number of
-	// workers, since each pass of the planner looks at all of them; maxGather
-	// bounds the delay that this adds to a start.
+	// gatherPerWorker and gatherPerJob are the time for which events gather, by the
+	// number of workers and of jobs that wait for room, since a pass of the planner
+	// looks at all of them; maxGather bounds the delay that this adds to a start.
 	gatherPerWorker = 10 * time.Microsecond
-	maxGather       = 8 * time.Millisecond
+	gatherPerJob    = 10 * time.Microsecond
+	maxGather       = 25 * time.Millisecond
+	// maxGatherWorkers bounds the part of it that stems from the workers.
+	maxGatherWorkers = 8 * time.Millisecond
 	// storeTimeout bounds one call of the store.
 	storeTimeout = 1500 * time.Millisecond
 	// poolSize bounds the orders under way at the same time.
@@ -169,7 +172,8 @@
 func (t *Term) gatherTime() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return min(time.Duration(t.planner.Workers())*gatherPerWorker, maxGather)
+	workers := min(time.Duration(t.planner.Workers())*gatherPerWorker, maxGatherWorkers)
+	return min(workers+time.Duration(t.planner.WaitingJobs())*gatherPerJob, maxGather)
 }
 
 // update runs the planner once and carries its commands out.
--- /dev/null
+++ b/internal/planner/looks_bench_test.go
@@ -0,0 +1,84 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
+)
+
+// BenchmarkMixedLook is the answer of a worker on which scavengers run beside tasks
+// that serve, as most workers of a full deployment do.
+func BenchmarkMixedLook(b *testing.B) {
+	const serving, scavengers = 4, 8
+	p, now := benchPlanner(1)
+	p.harm.Set("serves", "fills", 0)
+	steps := []submitter.Step{
+		{Count: serving, Size: small, LongRunning: true, TailTarget: identifier.Duration(time.Second), Image: "serves"},
+		{Count: scavengers, Size: small, Scavenger: true, Image: "fills"},
+	}
+	p.Inform(now, JobSubmitted{Job: submitter.Job{ID: "00000000000000aa", Queue: queue, Steps: steps}, Queue: queueConfig})
+	var active []connector.ActiveRun
+	for range 4 {
+		p.Update(now)
+		for _, c := range p.Update(now, BatchSaved{p.TakeBatch()}) {
+			if s, ok := c.(StartRun); ok {
+				p.Inform(now, StartAnswered{Worker: s.To.ID, Run: s.Order.Run, Epoch: s.Order.Epoch, Answer: connector.OrderAnswer{Verdict: connector.VerdictOK}})
+				r := connector.ActiveRun{Run: s.Order.Run, Percent: 100, Tail: 300 * time.Millisecond}
+				if s.Order.Run.Task.Step == 1 {
+					r.Percent, r.Tail, r.Used = 40, 0, 500
+				}
+				active = append(active, r)
+			}
+		}
+		now = now.Add(10 * time.Second)
+		dir := p.directory
+		dir.OperatorSeen, dir.WorkersSeen = now, now
+		p.Inform(now, DirectoryChanged{dir})
+	}
+	if len(active) < serving+1 {
+		b.Fatalf("%d runs, want scavengers beside %d that serve", len(active), serving)
+	}
+	answer := connector.HoldAnswer{OrderAnswer: connector.OrderAnswer{Verdict: connector.VerdictOK}, Active: active}
+	percent := 0
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		percent = (percent + 1) % 100
+		for i := range answer.Active {
+			if answer.Active[i].Tail == 0 {
+				answer.Active[i].Percent = percent
+			}
+		}
+		p.Update(now, HoldAnswered{Worker: "w00000", SentAt: now, Answer: answer})
+	}
+	b.ReportMetric(float64(len(active)), "runs")
+}
+
+// BenchmarkScavengersWait is a pass over jobs whose scavengers of many images find no
+// place beside tasks that serve, on as many workers as the largest deployment has.
+func BenchmarkScavengersWait(b *testing.B) {
+	const images = 30
+	for _, jobs := range []int{100, 1000} {
+		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
+			p, now := benchPlanner(1800)
+			p.Inform(now, JobSubmitted{Job: submitter.Job{ID: "00000000000000aa", Queue: queue, Steps: []submitter.Step{{
+				Count: 1800, Size: identifier.Size{Processors: 14000, Memory: 1000}, LongRunning: true, TailTarget: identifier.Duration(time.Second), Image: "serves",
+			}}}, Queue: queueConfig})
+			p.Update(now)
+			for n := range jobs {
+				image := identifier.Image(fmt.Sprint("fills", n%images))
+				p.harm.Set("serves", image, 40)
+				p.Inform(now, JobSubmitted{Job: submitter.Job{ID: identifier.Job(fmt.Sprintf("%016x", n)), Queue: queue, Steps: []submitter.Step{{
+					Count: 30, Size: small, Scavenger: true, Image: image,
+				}}}, Queue: queueConfig})
+			}
+			for b.Loop() {
+				now = now.Add(10 * time.Millisecond)
+				p.Update(now)
+			}
+		})
+	}
+}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -13,7 +13,7 @@
 	if len(p.waiting) == 0 || !p.fresh() {
 		return
 	}
-	full := p.newFullSizes()
+	full := p.beginPass()
 	for _, j := range p.waitingJobs() {
 		for _, groups := range j.occurrences {
 			for _, g := range groups {
@@ -41,32 +41,49 @@
 	}
 	patience := p.patience(g)
 	var c *choice
+	var last demand
+	covered := false
 	for i := range g.tasks {
 		t := &g.tasks[i]
 		if t.phase != taskReady || p.now.Before(t.notBefore) {
 			continue
 		}
-		d := p.demandOf(t, patience)
-		if full.covers(d, g.step.Size) {
+		if d := p.demandOf(t, patience); d != last || !covered {
+			last, covered = d, full.covers(p.now, d, g.step.Size)
+		}
+		if covered {
 			continue
 		}
 		if !t.isFresh() {
-			p.placeOn(t, p.choose(t, d), d, full)
+			p.placeOn(t, p.choose(t, last), last, full)
 			continue
 		}
-		if c == nil || c.demand != d {
-			c = p.newChoice(t, d)
+		if c == nil || c.demand != last {
+			c = p.newChoice(t, last)
 		}
-		p.placeOn(t, p.next(t, c), d, full)
+		p.placeOn(t, p.next(t, c), last, full)
 	}
 }
 
-// fullSizes remembers, for one pass, sizes for which no room was found, and the most
-// that any worker had left when the pass began: under overload most tasks need no
-// look at the workers.
+// revisitPerWorker is, by the number of workers, the time after which places for
+// scavengers are looked for again where there were none: a look at all workers takes
+// about a microsecond each, and scavengers run for seconds.
+const revisitPerWorker = 100 * time.Microsecond
+
+// fullSizes remembers sizes for which no room was found, and the most that any worker
+// had left when the pass began: under overload most tasks need no look at the workers.
 type fullSizes struct {
-	sizes map[demand][]identifier.Size
+	sizes map[demand][]fullSize
 	most  map[identifier.Service]mostRoom
+	// revisit is for how long a size counts as full to scavengers. To other tasks it
+	// does for one pass.
+	revisit time.Duration
+}
+
+// fullSize is a size for which there was no room, and until when that is believed.
+type fullSize struct {
+	size  identifier.Size
+	until time.Time
 }
 
 // mostRoom is the most of each kind that some usable worker of a service has left.
@@ -75,8 +92,21 @@
 	spare identifier.Millicores
 }
 
-func (p *Planner) newFullSizes() *fullSizes {
-	f := &fullSizes{sizes: map[demand][]identifier.Size{}, most: map[identifier.Service]mostRoom{}}
+// beginPass returns the sizes that are known to be full when a pass begins.
+func (p *Planner) beginPass() *fullSizes {
+	f := &p.full
+	if f.sizes == nil {
+		f.sizes = map[demand][]fullSize{}
+	}
+	for d, list := range f.sizes {
+		if list = slices.DeleteFunc(list, func(s fullSize) bool { return !p.now.Before(s.until) }); len(list) == 0 {
+			delete(f.sizes, d)
+			continue
+		}
+		f.sizes[d] = list
+	}
+	f.revisit = time.Duration(len(p.workers)) * revisitPerWorker
+	f.most = map[identifier.Service]mostRoom{}
 	for _, w := range p.workers {
 		if !p.usable(w) {
 			continue
@@ -89,11 +119,17 @@
 	return f
 }
 
-func (f *fullSizes) add(d demand, size identifier.Size) { f.sizes[d] = append(f.sizes[d], size) }
+func (f *fullSizes) add(now time.Time, d demand, size identifier.Size) {
+	until := now
+	if d.kind == loadScavenger {
+		until = now.Add(f.revisit)
+	}
+	f.sizes[d] = append(f.sizes[d], fullSize{size, until})
+}
 
-func (f *fullSizes) covers(d demand, size identifier.Size) bool {
+func (f *fullSizes) covers(now time.Time, d demand, size identifier.Size) bool {
 	for _, s := range f.sizes[d] {
-		if s.Fits(size) {
+		if s.size.Fits(size) && !now.After(s.until) {
 			return true
 		}
 	}
@@ -152,7 +188,7 @@
 	step := t.group.step
 	if w == nil {
 		if step.Label == "" && step.MaxPerWorker == 0 && !t.group.job.queue.Advised {
-			full.add(d, step.Size)
+			full.add(p.now, d, step.Size)
 		}
 		return
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -83,6 +83,9 @@
 	// neighbours counts the workers that have both images of a pair.
 	neighbours map[imagePair]int
 
+	// full are the sizes for which there was no room lately.
+	full fullSizes
+
 	// questions counts those to the adviser that are under way.
 	questions int
 
--- a/internal/planner/query.go
+++ b/internal/planner/query.go
@@ -28,6 +28,9 @@
 // Workers returns how many workers are known.
 func (p *Planner) Workers() int { return len(p.workers) }
 
+// WaitingJobs returns how many jobs have tasks that wait for room.
+func (p *Planner) WaitingJobs() int { return len(p.waiting) }
+
 // Stats counts what the planner holds.
 type Stats struct {
 	Jobs          int
