A choice of places compares enough of them, not all

Change: a choice looks at workers by turns until it has 128 places and 4 a task; steps that serve or whose data are in a rack still compare all. The expected loss on a worker is kept until its next look or change. Room is checked before interference.

--- a/internal/planner/choice.go
+++ b/internal/planner/choice.go
@@ -48,14 +48,28 @@
 // step that have not.
 func (t *task) isFresh() bool { return t.attempt == 0 && t.failedOn == "" }
 
+const (
+	// enoughPlaces and placesPerTask are how many places a choice compares, at least
+	// and for each task that waits. All workers are only looked at where few have
+	// room, so that a choice does not grow with them.
+	enoughPlaces  = 128
+	placesPerTask = 4
+)
+
 // newChoice finds the places for fresh tasks like one of a step.
 func (p *Planner) newChoice(t *task, d demand) *choice {
 	c := &choice{demand: d}
 	if d.kind == loadScavenger {
 		c.quiet = p.needOfQuiet(t.group.step.Image)
 	}
-	for _, w := range p.workers {
-		if p.obstacleTo(t, w, d) == obstacleNone {
+	enough := enoughPlaces + placesPerTask*t.group.ready
+	if d.kind == loadServing || t.group.step.DataRack != "" {
+		// Images that serve are packed, and data are in one rack.
+		enough = len(p.list)
+	}
+	for i := 0; i < len(p.list) && len(c.places) < enough; i++ {
+		p.next++
+		if w := p.list[p.next%len(p.list)]; p.obstacleTo(t, w, d) == obstacleNone {
 			c.places = append(c.places, place{w, p.score(t, w, d.kind, c.quiet)})
 		}
 	}
@@ -63,9 +77,9 @@
 	return c
 }
 
-// next returns the best place for a task, or nil. A place whose score has changed
+// bestPlace returns the best place for a task, or nil. A place whose score has changed
 // since it was found goes back to where it belongs.
-func (p *Planner) next(t *task, c *choice) *worker {
+func (p *Planner) bestPlace(t *task, c *choice) *worker {
 	for len(c.places) > 0 {
 		top := &c.places[0]
 		if p.obstacleTo(t, top.worker, c.demand) != obstacleNone {
--- a/internal/planner/explainer_test.go
+++ b/internal/planner/explainer_test.go
@@ -28,7 +28,7 @@
 		"evacuated":  {[]submitter.Step{{Count: 1, Size: small}}, func(b *bench) { b.dir.Evacuated["a"] = true }, nil, "1 workers are in an evacuated data centre"},
 		"quarantine": {[]submitter.Step{{Count: 1, Size: small}}, func(b *bench) { b.p.workers["w"].quarantined = b.now.Add(time.Hour) }, nil, "1 workers are in quarantine"},
 		"no worker": {[]submitter.Step{{Count: 1, Size: small}}, func(b *bench) {
-			delete(b.p.workers, "w")
+			b.p.forgetWorker(b.p.workers["w"])
 			delete(b.dir.Workers, "w")
 		}, nil, "has no worker"},
 		"runs":      {[]submitter.Step{{Count: 1, Size: small}}, nil, nil, "step 0 runs on w"},
--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -137,12 +137,27 @@
 func (p *Planner) expectedSlack(w *worker, scavenger identifier.Image, use float64) estimator.Slack {
 	least := ampleSlack
 	for serving := range w.servingBy {
-		loss := p.harm.Loss(serving, w.scavengerShares) + estimator.Slack(use*float64(p.supposed(serving, scavenger)))
+		loss := p.promisedLoss(w, serving) + estimator.Slack(use*float64(p.supposed(serving, scavenger)))
 		least = min(least, w.baseSlack(serving)-caution*loss)
 	}
 	return least
 }
 
+// promisedLoss returns the slack that the scavengers on a worker, at what they were
+// promised, are expected to take from a serving image. It is as new as the last look
+// at the worker, or the last change of its scavengers.
+func (p *Planner) promisedLoss(w *worker, serving identifier.Image) estimator.Slack {
+	loss, known := w.losses[serving]
+	if !known {
+		loss = p.harm.Loss(serving, w.scavengerShares)
+		if w.losses == nil {
+			w.losses = map[identifier.Image]estimator.Slack{}
+		}
+		w.losses[serving] = loss
+	}
+	return loss
+}
+
 // supposed returns the pressure of a pair for the choice of a place. One that is not
 // known gets the benefit of the doubt, so that it becomes known.
 func (p *Planner) supposed(serving, scavenger identifier.Image) estimator.Pressure {
@@ -220,6 +235,7 @@
 // observeTails learns from the tails on a worker, and keeps them below their
 // targets.
 func (p *Planner) observeTails(w *worker) {
+	clear(w.losses)
 	if w.serving == 0 {
 		w.slack = ampleSlack
 		p.letGo(w)
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -61,7 +61,7 @@
 		if c == nil || c.demand != last {
 			c = p.newChoice(t, last)
 		}
-		p.placeOn(t, p.next(t, c), last, full)
+		p.placeOn(t, p.bestPlace(t, c), last, full)
 	}
 }
 
@@ -107,7 +107,7 @@
 	}
 	f.revisit = time.Duration(len(p.workers)) * revisitPerWorker
 	f.most = map[identifier.Service]mostRoom{}
-	for _, w := range p.workers {
+	for _, w := range p.list {
 		if !p.usable(w) {
 			continue
 		}
@@ -203,7 +203,7 @@
 	if d.kind == loadScavenger {
 		quiet = p.needOfQuiet(t.group.step.Image)
 	}
-	for _, w := range p.workers {
+	for _, w := range p.list {
 		if p.obstacleTo(t, w, d) != obstacleNone {
 			continue
 		}
@@ -224,16 +224,13 @@
 	}
 	step := t.group.step
 	size := step.Size
-	if d.kind == loadScavenger {
-		size.Processors = 0
-		if w.spare() < step.Size.Processors {
+	switch {
+	case d.kind == loadScavenger:
+		if w.spare() < size.Processors {
 			return obstacleSpare
 		}
-		if !p.tolerates(w, step, p.now.Sub(t.readyAt), d.patient) {
-			return obstacleInterfering
-		}
-	}
-	if d.kind == loadServing && t.attempt == 0 {
+		size.Processors = 0
+	case d.kind == loadServing && t.attempt == 0:
 		size.Processors += identifier.Millicores(servingHeadroom * float64(w.entry.Capacity.Processors))
 	}
 	switch {
@@ -243,6 +240,8 @@
 		return obstacleLabel
 	case step.MaxPerWorker > 0 && p.runsOf(t.group, w) >= step.MaxPerWorker:
 		return obstacleSpread
+	case d.kind == loadScavenger && !p.tolerates(w, step, p.now.Sub(t.readyAt), d.patient):
+		return obstacleInterfering
 	default:
 		return p.obstacleOfAdvice(t.group, w)
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -68,6 +68,9 @@
 	scheduled map[*job]struct{}
 	waiting   map[*job]struct{}
 	workers   map[identifier.Worker]*worker
+	// list has all workers; next is where the next choice begins to look.
+	list []*worker
+	next int
 	// idle are the workers without a look under way; doubted are those that may have
 	// to be given up. Other workers need nothing from a pass.
 	idle    map[*worker]struct{}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -51,6 +51,8 @@
 type worker struct {
 	id    identifier.Worker
 	entry connector.WorkerEntry
+	// index is the worker's position in the planner's list.
+	index int
 	// listed is set while the directory has the worker.
 	listed bool
 	// current is set once the worker has answered under this holder's epoch.
@@ -87,7 +89,9 @@
 	departed    []departure
 	// baseSlacks are the slacks without scavengers, by image; scavengerShares is what
 	// the scavengers were promised, by image.
-	baseSlacks      map[identifier.Image]estimator.Slack
+	baseSlacks map[identifier.Image]estimator.Slack
+	// losses are those that promisedLoss has worked out, by serving image.
+	losses          map[identifier.Image]estimator.Slack
 	scavengerShares estimator.Load
 	// slack is the least that was last seen.
 	slack estimator.Slack
@@ -117,6 +121,8 @@
 			scavengerShares: estimator.Load{}, slack: ampleSlack,
 		}
 		p.workers[id] = w
+		w.index = len(p.list)
+		p.list = append(p.list, w)
 		p.idle[w] = struct{}{}
 		p.doubted[w] = struct{}{}
 	}
@@ -128,6 +134,9 @@
 func (p *Planner) forgetWorker(w *worker) {
 	p.sequenceFloor = max(p.sequenceFloor, w.sequence)
 	delete(p.workers, w.id)
+	last := p.list[len(p.list)-1]
+	p.list[w.index], last.index = last, w.index
+	p.list = p.list[:len(p.list)-1]
 	delete(p.idle, w)
 	delete(p.doubted, w)
 }
@@ -189,6 +198,7 @@
 
 // addShare changes what the scavengers of an image were promised.
 func (w *worker) addShare(image identifier.Image, by float64) {
+	clear(w.losses)
 	if w.scavengersBy[image] == 0 {
 		delete(w.scavengerShares, image)
 		return
