Tasks that run again share the places of their step

Change: they take places from the same heap as the others of their step; the worker on which a task failed is passed over while there is another. What a task's history changes in its demand is part of the demand.

--- a/internal/planner/adviser.go
+++ b/internal/planner/adviser.go
@@ -82,7 +82,7 @@
 	var found []candidate
 	for _, w := range p.workers {
 		if _, _, known := p.permitted(g, w); !known && p.obstacleTo(t, w, d) == obstaclePermit {
-			found = append(found, candidate{w.id, p.score(t, w, d.kind, 0)})
+			found = append(found, candidate{w.id, p.score(g.step, w, d.kind, 0)})
 		}
 	}
 	slices.SortFunc(found, func(a, b candidate) int {
--- a/internal/planner/choice.go
+++ b/internal/planner/choice.go
@@ -44,10 +44,6 @@
 	return last
 }
 
-// isFresh reports whether a task has not run yet, so that it is like the others of its
-// step that have not.
-func (t *task) isFresh() bool { return t.attempt == 0 && t.failedOn == "" }
-
 const (
 	// enoughPlaces and placesPerTask are how many places a choice compares, at least
 	// and for each task that waits. All workers are only looked at where few have
@@ -56,7 +52,7 @@
 	placesPerTask = 4
 )
 
-// newChoice finds the places for fresh tasks like one of a step.
+// newChoice finds the places for tasks like one of a step.
 func (p *Planner) newChoice(t *task, d demand) *choice {
 	c := &choice{demand: d}
 	if d.kind == loadScavenger {
@@ -70,23 +66,39 @@
 	for i := 0; i < len(p.list) && len(c.places) < enough; i++ {
 		p.next++
 		if w := p.list[p.next%len(p.list)]; p.obstacleTo(t, w, d) == obstacleNone {
-			c.places = append(c.places, place{w, p.score(t, w, d.kind, c.quiet)})
+			c.places = append(c.places, place{w, p.score(t.group.step, w, d.kind, c.quiet)})
 		}
 	}
 	heap.Init(&c.places)
 	return c
 }
 
-// bestPlace returns the best place for a task, or nil. A place whose score has changed
-// since it was found goes back to where it belongs.
+// bestPlace returns the best place for a task, or nil: one where it has failed only if
+// there is no other.
 func (p *Planner) bestPlace(t *task, c *choice) *worker {
+	best := p.top(t, c)
+	if best == nil || best.id != t.failedOn {
+		return best
+	}
+	failed := heap.Pop(&c.places)
+	other := p.top(t, c)
+	heap.Push(&c.places, failed)
+	if other == nil {
+		return best
+	}
+	return other
+}
+
+// top returns the best of the places that are left. One whose score has changed since
+// it was found goes back to where it belongs.
+func (p *Planner) top(t *task, c *choice) *worker {
 	for len(c.places) > 0 {
 		top := &c.places[0]
 		if p.obstacleTo(t, top.worker, c.demand) != obstacleNone {
 			heap.Pop(&c.places)
 			continue
 		}
-		score := p.score(t, top.worker, c.demand.kind, c.quiet)
+		score := p.score(t.group.step, top.worker, c.demand.kind, c.quiet)
 		if score >= top.score {
 			return top.worker
 		}
--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -171,9 +171,9 @@
 // ampleSlack is that of a worker without tasks that serve.
 const ampleSlack estimator.Slack = 4
 
-// tolerates reports whether a scavenger that has waited may be placed on a worker
-// beside tasks that serve; one that is patient waits for a place where it harms none.
-func (p *Planner) tolerates(w *worker, step *submitter.Step, waited time.Duration, patient bool) bool {
+// tolerates reports whether a scavenger may be placed on a worker beside tasks that
+// serve; one that is patient waits for a place where it harms none.
+func (p *Planner) tolerates(w *worker, step *submitter.Step, d demand) bool {
 	if w.serving == 0 {
 		return true
 	}
@@ -182,9 +182,9 @@
 	}
 	slack := p.expectedSlack(w, step.Image, share(step.Size.Processors, w.entry.Capacity.Processors))
 	switch {
-	case patient:
+	case d.patient:
 		return slack >= placeSlack && p.explores(w, step.Image) && !p.harmsOn(w, step.Image)
-	case waited < lastPatience:
+	case !d.urgent:
 		return slack >= lateSlack
 	default:
 		return true
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -54,10 +54,6 @@
 		if covered {
 			continue
 		}
-		if !t.isFresh() {
-			p.placeOn(t, p.choose(t, last), last, full)
-			continue
-		}
 		if c == nil || c.demand != last {
 			c = p.newChoice(t, last)
 		}
@@ -149,16 +145,25 @@
 	service identifier.Service
 	kind    loadKind
 	image   identifier.Image
-	// patient is set while a scavenger waits for a place where it harms nobody.
-	patient bool
+	// patient is set while a scavenger waits for a place where it harms nobody, and
+	// urgent once it has waited so long that any place does.
+	patient, urgent bool
+	// back is set for a task that serves and has run before, which may use the room
+	// that is left free for others.
+	back bool
 }
 
 // demandOf returns the demand of a task; patience is that of its group.
 func (p *Planner) demandOf(t *task, patience time.Duration) demand {
 	d := demand{service: t.group.job.queue.Service, kind: kindOf(t.group.step)}
-	if d.kind == loadScavenger {
+	switch d.kind {
+	case loadScavenger:
+		waited := p.now.Sub(t.readyAt)
 		d.image = t.group.step.Image
-		d.patient = p.now.Sub(t.readyAt) < patience
+		d.patient, d.urgent = waited < patience, waited >= lastPatience
+	case loadServing:
+		d.back = t.attempt > 0
+	case loadPlain:
 	}
 	return d
 }
@@ -207,7 +212,11 @@
 		if p.obstacleTo(t, w, d) != obstacleNone {
 			continue
 		}
-		if s := p.score(t, w, d.kind, quiet); best == nil || s > bestScore || (s == bestScore && w.id < best.id) {
+		s := p.score(t.group.step, w, d.kind, quiet)
+		if t.failedOn == w.id {
+			s += weightFailedHere
+		}
+		if best == nil || s > bestScore || (s == bestScore && w.id < best.id) {
 			best, bestScore = w, s
 		}
 	}
@@ -230,7 +239,7 @@
 			return obstacleSpare
 		}
 		size.Processors = 0
-	case d.kind == loadServing && t.attempt == 0:
+	case d.kind == loadServing && !d.back:
 		size.Processors += identifier.Millicores(servingHeadroom * float64(w.entry.Capacity.Processors))
 	}
 	switch {
@@ -240,7 +249,7 @@
 		return obstacleLabel
 	case step.MaxPerWorker > 0 && p.runsOf(t.group, w) >= step.MaxPerWorker:
 		return obstacleSpread
-	case d.kind == loadScavenger && !p.tolerates(w, step, p.now.Sub(t.readyAt), d.patient):
+	case d.kind == loadScavenger && !p.tolerates(w, step, d):
 		return obstacleInterfering
 	default:
 		return p.obstacleOfAdvice(t.group, w)
@@ -298,14 +307,14 @@
 // much a scavenger needs workers without tasks that serve. Tasks that
 // serve are packed by their images, since each image is disturbed by other
 // scavengers; others are spread over the workers with the most processors to spare.
-func (p *Planner) score(t *task, w *worker, kind loadKind, quiet float64) float64 {
+func (p *Planner) score(step *submitter.Step, w *worker, kind loadKind, quiet float64) float64 {
 	spare := share(w.spare(), w.entry.Capacity.Processors)
 	s := 0.0
 	switch kind {
 	case loadServing:
 		s -= share(w.room().Processors, w.entry.Capacity.Processors)
-		s += imageWeight(w.servingBy, t.group.step.Image)
-		s += weightScavenged * p.disturbance(w, t.group.step.Image)
+		s += imageWeight(w.servingBy, step.Image)
+		s += weightScavenged * p.disturbance(w, step.Image)
 	case loadPlain:
 		s += spare
 		if w.serving == 0 {
@@ -316,16 +325,13 @@
 		if w.serving == 0 {
 			s += weightQuiet * (1 - quiet)
 		} else {
-			s += weightSlack * float64(p.expectedSlack(w, t.group.step.Image, share(t.group.step.Size.Processors, w.entry.Capacity.Processors)))
-			s += weightMixed * float64(others(w.scavengersBy, t.group.step.Image))
+			s += weightSlack * float64(p.expectedSlack(w, step.Image, share(step.Size.Processors, w.entry.Capacity.Processors)))
+			s += weightMixed * float64(others(w.scavengersBy, step.Image))
 		}
 	}
-	if t.group.step.DataRack != "" && w.entry.Rack == t.group.step.DataRack {
+	if step.DataRack != "" && w.entry.Rack == step.DataRack {
 		s += weightDataRack
 	}
-	if t.failedOn == w.id {
-		s += weightFailedHere
-	}
 	if w.failures > 0 {
 		s += weightSuspect
 	}
