--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -106,7 +106,7 @@
 	a.mu.Unlock()
 	var records []connector.KeyedRecord
 	var next identifier.Offset
-	err := error(connector.ErrExpired)
+	err := connector.ErrExpired
 	if read {
 		records, next, err = a.store.Read(ctx, topicHosts, 0, from, newsWait)
 	}
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -72,6 +72,7 @@
 	log      planner.Log
 	valid    func() bool
 	unseen   func() time.Duration
+	waited   func(time.Duration)
 
 	events *eventQueue
 	save   chan struct{}
@@ -93,6 +94,10 @@
 // jobs wait.
 func WithAdviser(a connector.Adviser) Option { return func(t *Term) { t.adviser = a } }
 
+// WithEventWaits sets what is told how long the oldest event of each pass has waited
+// for the planner.
+func WithEventWaits(record func(time.Duration)) Option { return func(t *Term) { t.waited = record } }
+
 // WithValidity sets what is asked before each start whether this host still
 // may act as the holder, and before each renewal how long ago that was certain.
 func WithValidity(valid func() bool, unseen func() time.Duration) Option {
@@ -106,6 +111,7 @@
 		adviser: noAdviser{},
 		logger:  logger.With(zap.Int("cell", int(cell))),
 		valid:   func() bool { return true }, unseen: func() time.Duration { return 0 },
+		waited: func(time.Duration) {},
 		events: newEventQueue(),
 		save:   make(chan struct{}, 1),
 	}
@@ -153,6 +159,9 @@
 		}
 		sleeper.Pause(ctx, t.gatherTime())
 		batch, waited := t.events.take()
+		if len(batch) > 0 {
+			t.waited(waited)
+		}
 		if waited > slowEvents {
 			t.logger.Warn("planner is behind", zap.Duration("waitedMs", waited), zap.Int("events", len(batch)))
 		}
--- a/internal/meter/jobs.go
+++ b/internal/meter/jobs.go
@@ -18,6 +18,7 @@
 	waits     metric.Float64Histogram
 	durations metric.Float64Histogram
 	runs      metric.Float64Histogram
+	events    metric.Float64Histogram
 	decisions metric.Int64Counter
 }
 
@@ -28,12 +29,13 @@
 		return m.meter.Float64Histogram(name, metric.WithUnit("s"), bounds, metric.WithDescription(description))
 	}
 	var j Jobs
-	var errs [5]error
+	var errs [6]error
 	j.calls, errs[0] = histogram("balsamcove.call.duration", "Time from a caller's request to its answer, by queue, method and outcome.")
 	j.waits, errs[1] = histogram("balsamcove.job.wait", "Time from a job's submission to its first start, by queue.")
 	j.durations, errs[2] = histogram("balsamcove.job.duration", "Time from a job's submission to its end, by queue and state.")
 	j.runs, errs[3] = histogram("balsamcove.run.duration", "Time from a run's claim to its end, by the manner of its end.")
 	j.decisions, errs[4] = m.meter.Int64Counter("balsamcove.decisions", metric.WithDescription("Decisions about runs and workers, by kind."))
+	j.events, errs[5] = histogram("balsamcove.event.wait", "Time that the oldest event of a pass waited for the planner.")
 	return &j, errors.Wrap(errors.Join(errs[:]...), "create instruments of jobs")
 }
 
@@ -63,3 +65,6 @@
 func (j *Jobs) Decided(kind string) {
 	j.decisions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
 }
+
+// EventsWaited records how long the oldest event of a pass waited for the planner.
+func (j *Jobs) EventsWaited(d time.Duration) { j.events.Record(context.Background(), d.Seconds()) }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -66,6 +66,7 @@
 	adviser   connector.Adviser
 	logger    *zap.Logger
 	planLog   planner.Log
+	waited    func(time.Duration)
 
 	rpc       *messenger.Client
 	announcer *announcer.Announcer
@@ -91,6 +92,11 @@
 // WithAdviser sets who decides about the workers of advised queues.
 func WithAdviser(a connector.Adviser) Option { return func(s *Supervisor) { s.adviser = a } }
 
+// WithEventWaits sets what is told how long events wait for the planner.
+func WithEventWaits(record func(time.Duration)) Option {
+	return func(s *Supervisor) { s.waited = record }
+}
+
 // New returns a host that does not run yet.
 func New(s Settings, store *relayer.Store, runner connector.Runner, directory Directory, planLog planner.Log, logger *zap.Logger, opts ...Option) *Supervisor {
 	member := intake.MemberName(s.Name, s.Life, s.Peers)
@@ -130,6 +136,15 @@
 	}
 }
 
+// CarriedWorkers returns how many workers other hosts call for this one.
+func (s *Supervisor) CarriedWorkers() int64 {
+	n := 0
+	for _, carried := range s.pool.Loads() {
+		n += carried
+	}
+	return int64(n)
+}
+
 // Stats returns the counts of the cells that this host holds.
 func (s *Supervisor) Stats() []planner.Stats {
 	s.mu.Lock()
@@ -242,6 +257,9 @@
 	if s.adviser != nil {
 		opts = append(opts, dispatcher.WithAdviser(s.adviser))
 	}
+	if s.waited != nil {
+		opts = append(opts, dispatcher.WithEventWaits(s.waited))
+	}
 	return dispatcher.NewTerm(cell, settings, s.store, s.pool, s.logger, opts...)
 }
 
