--- a/internal/announcer/announcer_test.go
+++ b/internal/announcer/announcer_test.go
@@ -21,7 +21,7 @@
 }
 
 // TestHostsLearnOfLargerOnes checks that a host that comes later is known, also after
-// the store was away and has forgotten its history, and that malformed announcements
+// the store turned this host away and has forgotten its history, and that malformed announcements
 // change nothing.
 func TestHostsLearnOfLargerOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -36,11 +36,12 @@
 		if largest, known := small.Largest(); largest != 0.2 || !known {
 			t.Fatalf("largest %v, known %v, want this host's own", largest, known)
 		}
-		store.SetFaults(simulator.StoreFaults{Down: true})
+		store.SetFaults(simulator.StoreFaults{Refused: map[string]bool{"small": true}})
+		time.Sleep(newsWait + time.Second)
 		large := start(ctx, store, "large", 0.8)
 		time.Sleep(20 * time.Second)
-		store.SetFaults(simulator.StoreFaults{})
 		store.Forget(topicHosts)
+		store.SetFaults(simulator.StoreFaults{})
 		_, err := store.Client("x").Append(ctx, connector.KeyedAppend{Topic: topicHosts, Records: []connector.KeyedRecord{{Key: "bad", Value: []byte("x")}}})
 		if err != nil {
 			t.Fatal(err)
