--- a/internal/planner/doubt_test.go
+++ b/internal/planner/doubt_test.go
@@ -55,7 +55,7 @@
 		moves   bool
 	}{
 		"another has room": {[]connector.WorkerEntry{sized("x", 8), sized("w", 8)}, true},
-		"no other worker":       {[]connector.WorkerEntry{sized("w", 8)}, false},
+		"no other worker":  {[]connector.WorkerEntry{sized("w", 8)}, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
