Runs of an earlier holder do not tell how long a task takes

A restored run counts from the takeover, so that runs which end just after it make a step look as if it took 50 ms. Ruled out: workers that stand still (the evictions are spread over 240 workers, at most 6 each). Change: the time of a run that an earlier holder started does not count. Figures: TestTakeoverMakesNoStragglers: two running tasks stopped and two failures held against the worker before, none after.

--- a/internal/planner/end.go
+++ b/internal/planner/end.go
@@ -54,7 +54,9 @@
 	switch e.How {
 	case connector.EndDone:
 		w.failures, w.quarantined = 0, time.Time{}
-		t.group.took(p.now.Sub(r.started))
+		if !r.inherited {
+			t.group.took(p.now.Sub(r.started))
+		}
 		p.taskSucceeded(t)
 		return
 	case connector.EndFailed:
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -253,7 +253,7 @@
 	w := p.workerOf(rec.Worker)
 	r := &run{
 		id:   connector.RunID{Task: t.name(), Attempt: rec.Attempt},
-		task: t, size: t.group.step.Size, phase: runUnsure, pace: restoredPace(t), started: p.now, progress: p.now,
+		task: t, size: t.group.step.Size, phase: runUnsure, pace: restoredPace(t), started: p.now, progress: p.now, inherited: true,
 		unwanted: t.phase == taskDone || t.group.job.state.Ended(),
 	}
 	p.reserve(w, r)
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -37,6 +37,9 @@
 	answered time.Time
 	started  time.Time
 	tries    int
+	// inherited is set if an earlier holder started the run, so that it is not known
+	// how long it has run.
+	inherited bool
 	// unwanted is set once the run has to be stopped.
 	unwanted bool
 	stopSent bool
