A host that calls workers leaves a holder that does not answer

Cause: read in the diff: beats of a host have no answer, so that a host whose connection went silent without a reset waits for orders over it for good and never offers itself again; the holder has let it go after 1.3 s. After some silent spells the holder has nobody left and calls all workers itself. Ruled out: time-outs of the kernel, which come after minutes. Change: beats are calls; without an answer in 1.3 s the host closes the connection and offers itself over a new one. Figures: TestHostLeavesASilentHolder: 1 offer in 5 s before, a second one now.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -61,12 +61,7 @@
 	s.pool = NewPool(s.own, direct, zap.NewNop())
 	s.pool.SetWorkers(s.fleet.Entries())
 	s.pool.Open()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.address = ln.Addr().String()
-	_ = ln.Close()
+	s.address = freeAddress(t)
 	server, err := messenger.Listen(s.address, func(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
 		out, ok, err := s.pool.Handle(ctx, method, params)
 		if !ok {
@@ -307,3 +302,39 @@
 		t.Errorf("hosts %v", fmt.Sprint(loads))
 	}
 }
+
+// TestHostLeavesASilentHolder checks that a host whose connection to the holder goes
+// silent for good offers itself again over a new one.
+func TestHostLeavesASilentHolder(t *testing.T) {
+	var offers atomic.Int64
+	address := freeAddress(t)
+	server, err := messenger.Listen(address, func(ctx context.Context, method messenger.Method, _ json.RawMessage) (any, error) {
+		if method == messenger.MethodOffer {
+			offers.Add(1)
+			return nil, nil
+		}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	run(t, server.Run)
+	h := NewHost(Offer{"h", "a", 10}, nil, fixedHolder(address), zap.NewNop())
+	run(t, h.Run)
+	for end := time.Now().Add(5 * time.Second); offers.Load() < 2; sleeper.Pause(t.Context(), 10*time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d offers in 5s to a holder that does not answer, want another", offers.Load())
+		}
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
--- a/internal/carrier/host.go
+++ b/internal/carrier/host.go
@@ -156,19 +156,28 @@
 	close(s.ready)
 }
 
+// beat shows the holder that this host is there, and ends once the holder does not
+// answer: a connection may go silent for good without a reset.
 func (s *service) beat(ctx context.Context, peer messenger.Peer) error {
 	for ctx.Err() == nil {
-		select {
-		case <-peer.Done():
-			return nil
-		default:
+		m, err := encode(s.host.uptime(), []reply(nil))
+		if err != nil {
+			return err
+		}
+		if err := s.beatOnce(ctx, peer, m); err != nil {
+			return err
 		}
-		s.replies.wake()
 		sleeper.Pause(ctx, beatPeriod)
 	}
 	return nil
 }
 
+func (s *service) beatOnce(ctx context.Context, peer messenger.Peer, m batch) error {
+	ctx, cancel := context.WithTimeout(ctx, silence)
+	defer cancel()
+	return peer.Call(ctx, messenger.MethodAnswers, m, nil)
+}
+
 // handle answers the holder's messages.
 func (s *service) handle(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
 	if method != messenger.MethodOrders {
--- a/internal/carrier/sender.go
+++ b/internal/carrier/sender.go
@@ -58,11 +58,6 @@
 	s.mu.Lock()
 	s.queue = append(s.queue, item)
 	s.mu.Unlock()
-	s.wake()
-}
-
-// wake makes the sender send even without an item, to show that this host is there.
-func (s *sender[T]) wake() {
 	select {
 	case s.ready <- struct{}{}:
 	default:
