--- a/internal/carrier/assigner.go
+++ b/internal/carrier/assigner.go
@@ -33,7 +33,6 @@
 type placement[H comparable] struct {
 	host  H
 	ok    bool
-	home  identifier.DataCentre
 	avoid map[H]time.Time
 }
 
@@ -94,7 +93,7 @@
 func (a *assigner[H]) hostOf(id identifier.Worker, home identifier.DataCentre, now time.Time) (host H, ok bool) {
 	p, known := a.workers[id]
 	if !known {
-		p = &placement[H]{home: home}
+		p = &placement[H]{}
 		a.workers[id] = p
 	}
 	if p.ok {
@@ -110,7 +109,7 @@
 		return best, true
 	}
 	a.release(p)
-	p.host, p.ok, p.home = best, true, home
+	p.host, p.ok = best, true
 	a.hosts[best].carries++
 	return best, true
 }
