--- a/internal/server/process_test.go
+++ b/internal/server/process_test.go
@@ -91,20 +91,41 @@
 	entries []*entry
 }
 
+// givenAddresses are those that freePorts has returned. A process takes a while to
+// listen on its own, in which the kernel may offer them again.
+var givenAddresses sync.Map
+
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
 	var out []string
-	for range n {
+	for len(out) < n {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer func() { _ = ln.Close() }()
-		out = append(out, ln.Addr().String())
+		address := ln.Addr().String()
+		if _, given := givenAddresses.LoadOrStore(address, true); !given {
+			out = append(out, address)
+		}
 	}
 	return out
 }
 
+// TestAddressesAreGivenOnce checks that no two processes of the tests get the same
+// address, also while the first does not listen on it yet.
+func TestAddressesAreGivenOnce(t *testing.T) {
+	given := map[string]bool{}
+	for range 300 {
+		for _, address := range freePorts(t, 3) {
+			if given[address] {
+				t.Fatalf("%s is given twice", address)
+			}
+			given[address] = true
+		}
+	}
+}
+
 func newSite(t *testing.T, entries, minions int, serviceTime time.Duration) *site {
 	t.Helper()
 	s := &site{t: t, dir: t.TempDir(), log: &emulator.Log{}, list: &emulator.HostList{}}
