--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -14,9 +14,6 @@
 	// mixedWait is the same for a worker on which scavengers run beside tasks that
 	// serve: a tail that is too long has to be noticed soon.
 	mixedWait = 400 * time.Millisecond
-	// mixedWaitPerWorker makes it longer, up to holdWait, on fleets of more than 800
-	// workers, each look at one of which costs the holder some 40 us.
-	mixedWaitPerWorker = 500 * time.Microsecond
 	// missPause is the pause after a look without an answer, by the number of
 	// those in a row.
 	missPause = 150 * time.Millisecond
@@ -60,7 +57,7 @@
 		order.LeaseUntil = &until
 	}
 	if sameLife && !w.unsaved && !w.inDoubt() {
-		order.Wait = p.holdWait(w)
+		order.Wait = w.holdWait()
 	}
 	p.setHolding(w, true)
 	p.emit(HoldWorker{To: w.target(), Order: order})
@@ -77,9 +74,9 @@
 }
 
 // holdWait returns how long the worker may wait for an end before it answers.
-func (p *Planner) holdWait(w *worker) time.Duration {
+func (w *worker) holdWait() time.Duration {
 	if w.serving > 0 && len(w.scavengersBy) > 0 {
-		return min(max(mixedWait, time.Duration(len(p.workers))*mixedWaitPerWorker), holdWait)
+		return mixedWait
 	}
 	return holdWait
 }
