Logs tell who renewed a lease last, withdrawn claims and long waits of lasting tasks

'run ended' (lapsed) and 'run lost' carry the last renewal: sent and answered how long ago, through which host, looks missed. 'start unanswered' says whether it was sent. No decision changes.

--- a/internal/carrier/pool.go
+++ b/internal/carrier/pool.go
@@ -251,6 +251,7 @@
 		o.Timeout = time.Until(deadline)
 	}
 	r, err = s.do(ctx, o, spec)
+	r.through = s.offer.Name
 	if err == nil {
 		err = r.err()
 	}
--- a/internal/carrier/wire.go
+++ b/internal/carrier/wire.go
@@ -119,6 +119,9 @@
 	Born    identifier.UnixMillis
 	Active  []activeRun
 	Ended   []endedRun
+
+	// through is the host that told the reply; it does not travel.
+	through identifier.Entry
 }
 
 type activeRun struct {
@@ -149,7 +152,7 @@
 }
 
 func (r *reply) answer() connector.OrderAnswer {
-	return connector.OrderAnswer{Verdict: r.Verdict, Clock: r.Clock}
+	return connector.OrderAnswer{Verdict: r.Verdict, Clock: r.Clock, Through: r.through}
 }
 
 func (r *reply) hold() connector.HoldAnswer {
--- a/internal/connector/runner.go
+++ b/internal/connector/runner.go
@@ -92,6 +92,8 @@
 type OrderAnswer struct {
 	Verdict OrderVerdict `json:"verdict"`
 	Clock   WorkerClock  `json:"clock"`
+	// Through is the host that made the call for the holder; empty if it did itself.
+	Through identifier.Entry `json:"through,omitempty"`
 }
 
 // ActiveRun is a run that goes on at a worker.
--- a/internal/dispatcher/effect.go
+++ b/internal/dispatcher/effect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/logger"
@@ -109,7 +110,7 @@
 func (t *Term) hold(ctx context.Context, c planner.HoldWorker) {
 	ctx, cancel := context.WithTimeout(ctx, c.Order.Wait+holdSlack)
 	defer cancel()
-	if t.unseen() > t.settings.RenewalGrace {
+	if !t.mayRenew() {
 		c.Order.LeaseUntil = nil
 	}
 	sent := time.Now()
@@ -117,6 +118,17 @@
 	t.Notify(planner.HoldAnswered{Worker: c.To.ID, Order: c.Order, SentAt: sent, Answer: answer, Err: err})
 }
 
+// mayRenew reports whether the store was reached recently enough for leases to be
+// renewed, and logs when that changes.
+func (t *Term) mayRenew() bool {
+	unseen := t.unseen()
+	may := unseen <= t.settings.RenewalGrace
+	if t.withheld.Swap(!may) == may {
+		t.logger.Warn("renewal of leases changes", zap.Bool("renewed", may), zap.Duration("storeUnseenMs", unseen))
+	}
+	return may
+}
+
 func (t *Term) pace(ctx context.Context, c planner.PaceRun) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -77,6 +78,8 @@
 	events *eventQueue
 	save   chan struct{}
 	pool   *ants.Pool
+	// withheld is set while leases are not renewed, since the store was not reached.
+	withheld atomic.Bool
 
 	mu      sync.Mutex
 	planner *planner.Planner
--- a/internal/meter/jobs.go
+++ b/internal/meter/jobs.go
@@ -19,6 +19,7 @@
 	durations metric.Float64Histogram
 	runs      metric.Float64Histogram
 	events    metric.Float64Histogram
+	outages   metric.Float64Histogram
 	decisions metric.Int64Counter
 }
 
@@ -29,13 +30,14 @@
 		return m.meter.Float64Histogram(name, metric.WithUnit("s"), bounds, metric.WithDescription(description))
 	}
 	var j Jobs
-	var errs [6]error
+	var errs [7]error
 	j.calls, errs[0] = histogram("balsamcove.call.duration", "Time from a caller's request to its answer, by queue, method and outcome.")
 	j.waits, errs[1] = histogram("balsamcove.job.wait", "Time from a job's submission to its first start, by queue.")
 	j.durations, errs[2] = histogram("balsamcove.job.duration", "Time from a job's submission to its end, by queue and state.")
 	j.runs, errs[3] = histogram("balsamcove.run.duration", "Time from a run's claim to its end, by the manner of its end.")
 	j.decisions, errs[4] = m.meter.Int64Counter("balsamcove.decisions", metric.WithDescription("Decisions about runs and workers, by kind."))
 	j.events, errs[5] = histogram("balsamcove.event.wait", "Time that the oldest event of a pass waited for the planner.")
+	j.outages, errs[6] = histogram("balsamcove.lasting.outage", "Time from the known end of a lasting task's run to the confirmed start of the next.")
 	return &j, errors.Wrap(errors.Join(errs[:]...), "create instruments of jobs")
 }
 
@@ -68,3 +70,6 @@
 
 // EventsWaited records how long the oldest event of a pass waited for the planner.
 func (j *Jobs) EventsWaited(d time.Duration) { j.events.Record(context.Background(), d.Seconds()) }
+
+// Resumed records for how long a task that lasts did not run.
+func (j *Jobs) Resumed(out time.Duration) { j.outages.Record(context.Background(), out.Seconds()) }
--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -72,7 +72,8 @@
 	if r.phase != runClaimed || r.worker.runs[r.id] != r {
 		return
 	}
-	if r.unwanted || !p.usable(r.worker) || !p.fresh() {
+	if reason := p.reasonToWithdraw(r); reason != "" {
+		p.log.ClaimWithdrawn(r.id, r.worker.id, reason)
 		p.unclaim(r)
 		return
 	}
@@ -86,6 +87,21 @@
 	p.sendStart(r)
 }
 
+// reasonToWithdraw says why a claim must not be sent to its worker any more; it is
+// empty if nothing speaks against it.
+func (p *Planner) reasonToWithdraw(r *run) string {
+	switch o := p.obstacleAt(r.worker); {
+	case r.unwanted:
+		return "the run is not wanted any more"
+	case o != obstacleNone:
+		return "such workers " + string(o)
+	case !p.fresh():
+		return "the directory is too old"
+	default:
+		return ""
+	}
+}
+
 const (
 	// maxStartTries is how often a start without an answer is repeated before
 	// the worker's epoch is raised against it.
--- a/internal/planner/end.go
+++ b/internal/planner/end.go
@@ -44,7 +44,7 @@
 
 func (p *Planner) runEnded(r *run, e connector.EndedRun) {
 	t, w := r.task, r.worker
-	p.log.RunEnded(r.id, w.id, e.How, p.now.Sub(r.started))
+	p.log.RunEnded(r.id, w.id, e.How, p.now.Sub(r.started), p.renewalOf(w))
 	p.forgetRun(r)
 	w.depart(r, p.now)
 	if e.Checkpoint != "" {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -53,6 +53,9 @@
 	// notBefore delays the next run after a failure.
 	notBefore time.Time
 	readyAt   time.Time
+	// outSince is since when a task that lasts is known not to run; zero before its
+	// first run and while it does.
+	outSince time.Time
 }
 
 // group is a step of one occurrence of a job.
@@ -70,6 +73,8 @@
 	// baseline is the tail of a step that serves, without scavengers.
 	baseline estimator.Baseline
 	advised  advised
+	// waitLogged is when it was last logged that tasks of the step wait.
+	waitLogged time.Time
 	// gangFailures counts failed runs of a gang as a whole.
 	gangFailures int
 }
@@ -155,6 +160,9 @@
 	}
 	t.phase = taskReady
 	t.readyAt = p.now
+	if t.group.step.LongRunning && t.outSince.IsZero() && t.attempt > 0 {
+		t.outSince = p.now
+	}
 	t.group.ready++
 	t.group.job.ready++
 	p.waiting[t.group.job] = struct{}{}
--- a/internal/planner/log.go
+++ b/internal/planner/log.go
@@ -8,13 +8,39 @@
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
 
+// Renewal is what is known of the renewals of a worker's lease.
+type Renewal struct {
+	// Asked is how long ago the last order that renews the lease was sent, Answered how
+	// long ago one was last answered; negative if that never happened.
+	Asked, Answered time.Duration
+	// Through is the host that made the call which was answered last; empty for the
+	// holder itself.
+	Through identifier.Entry
+	// Left is how much longer runs may go on at a worker that is not heard from.
+	Left time.Duration
+	// Misses is how many looks in a row had no answer.
+	Misses int
+}
+
+// Wait says how long tasks of a step have waited for a worker, and why.
+type Wait struct {
+	Job    identifier.Job
+	Step   int
+	Tasks  int
+	Waited time.Duration
+	Reason string
+}
+
 // Log receives the planner's decisions, one call each.
 type Log interface {
 	JobStarted(id identifier.Job, queue identifier.Queue, waited time.Duration)
 	JobEnded(id identifier.Job, queue identifier.Queue, state JobState, took, early time.Duration)
-	RunEnded(run connector.RunID, worker identifier.Worker, how connector.RunEnd, took time.Duration)
+	RunEnded(run connector.RunID, worker identifier.Worker, how connector.RunEnd, took time.Duration, renewal Renewal)
 	LateEnd(run connector.RunID, worker identifier.Worker, how connector.RunEnd)
-	RunLost(run connector.RunID, worker identifier.Worker)
+	RunLost(run connector.RunID, worker identifier.Worker, renewal Renewal)
+	ClaimWithdrawn(run connector.RunID, worker identifier.Worker, reason string)
+	TasksWait(w Wait)
+	ServiceResumed(run connector.RunID, worker identifier.Worker, out time.Duration)
 	StartUnanswered(run connector.RunID, worker identifier.Worker, try int, err error)
 	StartRefused(run connector.RunID, worker identifier.Worker, verdict connector.OrderVerdict)
 	RunEvicted(run connector.RunID, worker identifier.Worker, serving identifier.Image, slack estimator.Slack)
@@ -28,17 +54,20 @@
 
 type noLog struct{}
 
-func (noLog) JobStarted(identifier.Job, identifier.Queue, time.Duration)                        {}
-func (noLog) JobEnded(identifier.Job, identifier.Queue, JobState, time.Duration, time.Duration) {}
-func (noLog) RunEnded(connector.RunID, identifier.Worker, connector.RunEnd, time.Duration)      {}
-func (noLog) LateEnd(connector.RunID, identifier.Worker, connector.RunEnd)                      {}
-func (noLog) RunLost(connector.RunID, identifier.Worker)                                        {}
-func (noLog) StartUnanswered(connector.RunID, identifier.Worker, int, error)                    {}
-func (noLog) StartRefused(connector.RunID, identifier.Worker, connector.OrderVerdict)           {}
-func (noLog) RunEvicted(connector.RunID, identifier.Worker, identifier.Image, estimator.Slack)  {}
-func (noLog) RunStraggles(connector.RunID, identifier.Worker, int, time.Duration)               {}
-func (noLog) RunMoved(connector.RunID, identifier.Worker, string)                               {}
-func (noLog) Advised(connector.StepID, int, int, error)                                         {}
-func (noLog) StrayRun(connector.RunID, identifier.Worker)                                       {}
-func (noLog) WorkerChanged(identifier.Worker, string)                                           {}
-func (noLog) WorkerSilent(identifier.Worker, time.Duration, error)                              {}
+func (noLog) JobStarted(identifier.Job, identifier.Queue, time.Duration)                            {}
+func (noLog) JobEnded(identifier.Job, identifier.Queue, JobState, time.Duration, time.Duration)     {}
+func (noLog) RunEnded(connector.RunID, identifier.Worker, connector.RunEnd, time.Duration, Renewal) {}
+func (noLog) LateEnd(connector.RunID, identifier.Worker, connector.RunEnd)                          {}
+func (noLog) RunLost(connector.RunID, identifier.Worker, Renewal)                                   {}
+func (noLog) ClaimWithdrawn(connector.RunID, identifier.Worker, string)                             {}
+func (noLog) TasksWait(Wait)                                                                        {}
+func (noLog) ServiceResumed(connector.RunID, identifier.Worker, time.Duration)                      {}
+func (noLog) StartUnanswered(connector.RunID, identifier.Worker, int, error)                        {}
+func (noLog) StartRefused(connector.RunID, identifier.Worker, connector.OrderVerdict)               {}
+func (noLog) RunEvicted(connector.RunID, identifier.Worker, identifier.Image, estimator.Slack)      {}
+func (noLog) RunStraggles(connector.RunID, identifier.Worker, int, time.Duration)                   {}
+func (noLog) RunMoved(connector.RunID, identifier.Worker, string)                                   {}
+func (noLog) Advised(connector.StepID, int, int, error)                                             {}
+func (noLog) StrayRun(connector.RunID, identifier.Worker)                                           {}
+func (noLog) WorkerChanged(identifier.Worker, string)                                               {}
+func (noLog) WorkerSilent(identifier.Worker, time.Duration, error)                                  {}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -132,6 +132,9 @@
 		p.log.WorkerChanged(w.id, "answers again")
 	}
 	w.heard(p.now, e.Answer.Clock)
+	if e.Order.LeaseUntil != nil {
+		w.renewedBy(e.Answer.OrderAnswer, p.now)
+	}
 	w.current = true
 	if w.born != e.Answer.Born {
 		if w.born != 0 {
@@ -164,6 +167,7 @@
 	}
 	if r.phase == runStarting || r.phase == runUnsure {
 		r.phase, r.answered, r.progress = runActive, p.now, p.now
+		p.serviceResumed(r)
 	}
 	if a.Percent != r.percent {
 		r.percent, r.progress = a.Percent, p.now
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -26,6 +26,8 @@
 	w.heard(p.now, e.Answer.Clock)
 	switch e.Answer.Verdict {
 	case connector.VerdictOK, connector.VerdictOld:
+		w.renewedBy(e.Answer, p.now)
+		p.serviceResumed(r)
 		// A run that is called old has ended; the next look brings its end.
 		r.phase, r.answered, r.progress = runActive, p.now, p.now
 		if r.unwanted {
@@ -162,7 +164,7 @@
 
 // lose gives up one run that has certainly ended without a known outcome.
 func (p *Planner) lose(r *run) {
-	p.log.RunLost(r.id, r.worker.id)
+	p.log.RunLost(r.id, r.worker.id, p.renewalOf(r.worker))
 	if r.task.lost == nil {
 		r.task.lost = map[identifier.Attempt]struct{}{}
 	}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -10,7 +10,11 @@
 
 // place claims room for ready tasks, in the order of service.
 func (p *Planner) place() {
-	if len(p.waiting) == 0 || !p.fresh() {
+	if len(p.waiting) == 0 {
+		return
+	}
+	if !p.fresh() {
+		p.logWaits()
 		return
 	}
 	full := p.beginPass()
@@ -19,6 +23,7 @@
 			for _, g := range groups {
 				p.placeGroup(g, full)
 				p.askAdvice(g)
+				p.logWait(g)
 			}
 		}
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -92,6 +92,9 @@
 	// questions counts those to the adviser that are under way.
 	questions int
 
+	// waits bounds the log lines about steps that wait.
+	waits waitBudget
+
 	dirty     map[*job]struct{}
 	retired   []Retired
 	retiredAt time.Time
--- /dev/null
+++ b/internal/planner/waiter_test.go
@@ -0,0 +1,107 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
+)
+
+// recorder keeps what the planner logs about runs and waits.
+type recorder struct {
+	noLog
+	ended     []Renewal
+	withdrawn []string
+	waits     []Wait
+	resumed   []time.Duration
+}
+
+func (r *recorder) RunEnded(_ connector.RunID, _ identifier.Worker, _ connector.RunEnd, _ time.Duration, renewal Renewal) {
+	r.ended = append(r.ended, renewal)
+}
+
+func (r *recorder) ClaimWithdrawn(_ connector.RunID, _ identifier.Worker, reason string) {
+	r.withdrawn = append(r.withdrawn, reason)
+}
+
+func (r *recorder) TasksWait(w Wait) { r.waits = append(r.waits, w) }
+
+func (r *recorder) ServiceResumed(_ connector.RunID, _ identifier.Worker, out time.Duration) {
+	r.resumed = append(r.resumed, out)
+}
+
+var lasting = submitter.Step{Count: 1, Size: small, LongRunning: true}
+
+// TestLapsedRunsTellTheLastRenewal checks that the end of a run comes with who renewed
+// the worker's lease last and when, and with how long its task was out of service.
+func TestLapsedRunsTellTheLastRenewal(t *testing.T) {
+	log := &recorder{}
+	b := newBench(t, workerEntry("w"))
+	b.p.log = log
+	b.update(0)
+	b.look("w", connector.HoldAnswer{OrderAnswer: connector.OrderAnswer{Clock: 1}, Born: 1})
+	s := b.startOne(lasting)
+	b.update(0, StartAnswered{Worker: "w", Run: s.Order.Run, Epoch: s.Order.Epoch, Answer: connector.OrderAnswer{Verdict: connector.VerdictOK, Clock: 1, Through: "front-b"}})
+	const silent = 6 * time.Second
+	hold, _ := find[HoldWorker](b.commands, func(HoldWorker) bool { return true })
+	b.update(silent, HoldAnswered{Worker: "w", Order: connector.HoldOrder{Epoch: hold.Order.Epoch}, SentAt: b.now, Answer: connector.HoldAnswer{
+		OrderAnswer: connector.OrderAnswer{Verdict: connector.VerdictOK, Clock: connector.WorkerClock(silent)}, Born: 1,
+		Ended: []connector.EndedRun{{Number: 1, Run: s.Order.Run, How: connector.EndLapsed}},
+	}})
+	if len(log.ended) != 1 {
+		t.Fatalf("%d runs ended, want 1", len(log.ended))
+	}
+	if r := log.ended[0]; r.Through != "front-b" || r.Answered != silent || r.Asked < silent {
+		t.Fatalf("renewal %+v, want one answered %v ago through front-b", r, silent)
+	}
+	b.save()
+	again := b.starts()
+	if len(again) != 1 {
+		t.Fatalf("%d starts, want 1", len(again))
+	}
+	b.update(time.Second, StartAnswered{Worker: "w", Run: again[0].Order.Run, Epoch: again[0].Order.Epoch, Answer: connector.OrderAnswer{Verdict: connector.VerdictOK}})
+	if len(log.resumed) != 1 || log.resumed[0] != time.Second {
+		t.Fatalf("out of service %v, want one second once", log.resumed)
+	}
+}
+
+// TestLongWaitsAreLogged checks that the log says why tasks that last wait, with a
+// bounded number of lines.
+func TestLongWaitsAreLogged(t *testing.T) {
+	const jobs = 3 * waitLines
+	log := &recorder{}
+	b := newBench(t)
+	b.p.log = log
+	for i := range jobs {
+		b.submit(identifier.Job(fmt.Sprintf("%016x", i)), lasting)
+	}
+	b.update(longWait)
+	if len(log.waits) != waitLines {
+		t.Fatalf("%d lines, want %d", len(log.waits), waitLines)
+	}
+	if w := log.waits[0]; w.Waited != longWait || w.Reason != "service rakes has no worker" {
+		t.Fatalf("line %+v", w)
+	}
+	b.p.Update(b.now.Add(time.Minute), Ticked{})
+	if w := log.waits[len(log.waits)-1]; w.Reason != "the directory is too old" {
+		t.Fatalf("line %+v of a stale directory", w)
+	}
+}
+
+// TestWithdrawnClaimsAreLogged checks that a claim which is not sent leaves a reason.
+func TestWithdrawnClaimsAreLogged(t *testing.T) {
+	log := &recorder{}
+	b := newBench(t, workerEntry("w"))
+	b.p.log = log
+	b.update(0)
+	b.look("w", connector.HoldAnswer{OrderAnswer: connector.OrderAnswer{Clock: 1}, Born: 1})
+	b.submit("00000000000000aa", lasting)
+	b.dir.Evacuated["a"] = true
+	b.save()
+	if len(b.starts()) != 0 || len(log.withdrawn) != 1 || log.withdrawn[0] != "such workers are in an evacuated data centre" {
+		t.Fatalf("withdrawn %v, starts %v", log.withdrawn, b.starts())
+	}
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -70,13 +70,18 @@
 	// leaseEnd is when everything on the worker has certainly stopped if it is
 	// not heard from any more.
 	leaseEnd time.Time
-	born     identifier.UnixMillis
-	seen     identifier.EndNumber
-	forget   identifier.EndNumber
-	unsaved  bool
-	runs     map[connector.RunID]*run
-	used     identifier.Size
-	scavenge identifier.Millicores
+	// renewAsked is when an order that renews the lease was last sent, renewed when one
+	// was last answered, and renewedThrough which host made that call.
+	renewAsked     time.Time
+	renewed        time.Time
+	renewedThrough identifier.Entry
+	born           identifier.UnixMillis
+	seen           identifier.EndNumber
+	forget         identifier.EndNumber
+	unsaved        bool
+	runs           map[connector.RunID]*run
+	used           identifier.Size
+	scavenge       identifier.Millicores
 	// serving counts the tasks that serve; serveCPU is what they reserve.
 	serving  int
 	serveCPU identifier.Millicores
@@ -152,9 +157,32 @@
 	if end := w.clockAt.Add(span); end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
+	w.renewAsked = p.now
 	return until
 }
 
+// renewedBy notes that an order which renews the lease was answered.
+func (w *worker) renewedBy(a connector.OrderAnswer, now time.Time) {
+	w.renewed, w.renewedThrough = now, a.Through
+}
+
+// renewalOf returns what is known of the renewals of a worker's lease.
+func (p *Planner) renewalOf(w *worker) Renewal {
+	return Renewal{
+		Asked: p.sinceOrNever(w.renewAsked), Answered: p.sinceOrNever(w.renewed), Through: w.renewedThrough,
+		Left: w.leaseEnd.Sub(p.now), Misses: w.misses,
+	}
+}
+
+// sinceOrNever returns how long ago a moment was, or a negative duration for the zero
+// time.
+func (p *Planner) sinceOrNever(at time.Time) time.Duration {
+	if at.IsZero() {
+		return -1
+	}
+	return p.now.Sub(at)
+}
+
 func (w *worker) heard(now time.Time, clock connector.WorkerClock) {
 	w.heardAt = now
 	w.misses = 0
--- a/internal/supervisor/log.go
+++ b/internal/supervisor/log.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
@@ -45,21 +46,54 @@
 
 // RunEnded implements planner.Log. Runs that end as they should are logged only
 // in detail, since their job has a line.
-func (l PlanLog) RunEnded(run connector.RunID, worker identifier.Worker, how connector.RunEnd, took time.Duration) {
+func (l PlanLog) RunEnded(run connector.RunID, worker identifier.Worker, how connector.RunEnd, took time.Duration, renewal planner.Renewal) {
 	l.meter.RunEnded(string(how), took)
 	level := zap.InfoLevel
 	if how == connector.EndDone {
 		level = zap.DebugLevel
 	}
-	if ce := l.logger.Check(level, "run ended"); ce != nil {
-		ce.Write(append(runFields(run, worker), zap.String("how", string(how)), zap.Duration("tookMs", took))...)
+	ce := l.logger.Check(level, "run ended")
+	if ce == nil {
+		return
+	}
+	fields := append(runFields(run, worker), zap.String("how", string(how)), zap.Duration("tookMs", took))
+	if how == connector.EndLapsed {
+		fields = append(fields, renewalFields(renewal)...)
+	}
+	ce.Write(fields...)
+}
+
+// renewalFields tell who renewed a worker's lease last and when.
+func renewalFields(r planner.Renewal) []zap.Field {
+	return []zap.Field{
+		zap.Duration("renewalSentMs", r.Asked), zap.Duration("renewedMs", r.Answered), zap.String("renewedThrough", string(r.Through)),
+		zap.Duration("leaseLeftMs", r.Left), zap.Int("misses", r.Misses),
 	}
 }
 
 // RunLost implements planner.Log.
-func (l PlanLog) RunLost(run connector.RunID, worker identifier.Worker) {
+func (l PlanLog) RunLost(run connector.RunID, worker identifier.Worker, renewal planner.Renewal) {
 	l.meter.Decided("lost")
-	l.logger.Info("run lost", runFields(run, worker)...)
+	l.logger.Info("run lost", append(runFields(run, worker), renewalFields(renewal)...)...)
+}
+
+// ClaimWithdrawn implements planner.Log.
+func (l PlanLog) ClaimWithdrawn(run connector.RunID, worker identifier.Worker, reason string) {
+	l.meter.Decided("claimWithdrawn")
+	l.logger.Info("claim withdrawn", append(runFields(run, worker), zap.String("reason", reason))...)
+}
+
+// TasksWait implements planner.Log.
+func (l PlanLog) TasksWait(w planner.Wait) {
+	l.meter.Decided("lastingWaits")
+	l.logger.Info("lasting tasks wait", zap.String("request", string(w.Job)), zap.Int("step", w.Step), zap.Int("tasks", w.Tasks),
+		zap.Duration("waitedMs", w.Waited), zap.String("reason", w.Reason))
+}
+
+// ServiceResumed implements planner.Log.
+func (l PlanLog) ServiceResumed(run connector.RunID, worker identifier.Worker, out time.Duration) {
+	l.meter.Resumed(out)
+	l.logger.Info("lasting task runs again", append(runFields(run, worker), zap.Duration("outMs", out))...)
 }
 
 // LateEnd implements planner.Log.
@@ -71,7 +105,7 @@
 // StartUnanswered implements planner.Log.
 func (l PlanLog) StartUnanswered(run connector.RunID, worker identifier.Worker, try int, err error) {
 	l.meter.Decided("startUnanswered")
-	l.logger.Info("start unanswered", append(runFields(run, worker), zap.Int("try", try), logger.Err(err))...)
+	l.logger.Info("start unanswered", append(runFields(run, worker), zap.Int("try", try), zap.Bool("notSent", errors.Is(err, connector.ErrNotSent)), logger.Err(err))...)
 }
 
 // StartRefused implements planner.Log.
