--- a/internal/planner/log.go
+++ b/internal/planner/log.go
@@ -54,20 +54,36 @@
 
 type noLog struct{}
 
-func (noLog) JobStarted(identifier.Job, identifier.Queue, time.Duration)                            {}
-func (noLog) JobEnded(identifier.Job, identifier.Queue, JobState, time.Duration, time.Duration)     {}
+func (noLog) JobStarted(identifier.Job, identifier.Queue, time.Duration) {}
+
+func (noLog) JobEnded(identifier.Job, identifier.Queue, JobState, time.Duration, time.Duration) {}
+
 func (noLog) RunEnded(connector.RunID, identifier.Worker, connector.RunEnd, time.Duration, Renewal) {}
-func (noLog) LateEnd(connector.RunID, identifier.Worker, connector.RunEnd)                          {}
-func (noLog) RunLost(connector.RunID, identifier.Worker, Renewal)                                   {}
-func (noLog) ClaimWithdrawn(connector.RunID, identifier.Worker, string)                             {}
-func (noLog) TasksWait(Wait)                                                                        {}
-func (noLog) ServiceResumed(connector.RunID, identifier.Worker, time.Duration)                      {}
-func (noLog) StartUnanswered(connector.RunID, identifier.Worker, int, error)                        {}
-func (noLog) StartRefused(connector.RunID, identifier.Worker, connector.OrderVerdict)               {}
-func (noLog) RunEvicted(connector.RunID, identifier.Worker, identifier.Image, estimator.Slack)      {}
-func (noLog) RunStraggles(connector.RunID, identifier.Worker, int, time.Duration)                   {}
-func (noLog) RunMoved(connector.RunID, identifier.Worker, string)                                   {}
-func (noLog) Advised(connector.StepID, int, int, error)                                             {}
-func (noLog) StrayRun(connector.RunID, identifier.Worker)                                           {}
-func (noLog) WorkerChanged(identifier.Worker, string)                                               {}
-func (noLog) WorkerSilent(identifier.Worker, time.Duration, error)                                  {}
+
+func (noLog) LateEnd(connector.RunID, identifier.Worker, connector.RunEnd) {}
+
+func (noLog) RunLost(connector.RunID, identifier.Worker, Renewal) {}
+
+func (noLog) ClaimWithdrawn(connector.RunID, identifier.Worker, string) {}
+
+func (noLog) TasksWait(Wait) {}
+
+func (noLog) ServiceResumed(connector.RunID, identifier.Worker, time.Duration) {}
+
+func (noLog) StartUnanswered(connector.RunID, identifier.Worker, int, error) {}
+
+func (noLog) StartRefused(connector.RunID, identifier.Worker, connector.OrderVerdict) {}
+
+func (noLog) RunEvicted(connector.RunID, identifier.Worker, identifier.Image, estimator.Slack) {}
+
+func (noLog) RunStraggles(connector.RunID, identifier.Worker, int, time.Duration) {}
+
+func (noLog) RunMoved(connector.RunID, identifier.Worker, string) {}
+
+func (noLog) Advised(connector.StepID, int, int, error) {}
+
+func (noLog) StrayRun(connector.RunID, identifier.Worker) {}
+
+func (noLog) WorkerChanged(identifier.Worker, string) {}
+
+func (noLog) WorkerSilent(identifier.Worker, time.Duration, error) {}
