Failing tests: starts beyond what the holder can send let everything lapse

In the planner, with a link that carries 200 orders a second: 0 of 1000 tasks run after 10 s and 1000 runs lapse; an urgent job behind them waits 4.9 s; a start that was never sent keeps its task for a lease.

--- /dev/null
+++ b/internal/planner/congestion_test.go
@@ -0,0 +1,299 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
+)
+
+const (
+	// linkTime is how long an order occupies the holder's link.
+	linkTime = 5 * time.Millisecond
+	// orderTime is after how long a start without an answer counts as unanswered,
+	// lookTime the same for a look beyond its wait.
+	orderTime = 400 * time.Millisecond
+	lookTime  = 500 * time.Millisecond
+	tickTime  = 5 * time.Millisecond
+	saveTime  = 20 * time.Millisecond
+)
+
+// linkOrder is a command on its way over the link.
+type linkOrder struct {
+	command Command
+	sent    time.Time
+	expired bool
+}
+
+// linkWorker is a worker at the far end of the link.
+type linkWorker struct {
+	lease connector.WorkerClock
+	runs  map[connector.RunID]struct{}
+	past  map[connector.RunID]struct{}
+	epoch identifier.Epoch
+	// waiting are looks that the worker answers later.
+	waiting []waitingLook
+}
+
+type waitingLook struct {
+	hold HoldWorker
+	sent time.Time
+	due  time.Time
+}
+
+// link is a holder's only way to its workers: it carries one order after the other,
+// late ones too. It answers the load that is offered to a host too small for it.
+type link struct {
+	b       *bench
+	began   time.Time
+	queue   []linkOrder
+	workers map[identifier.Worker]*linkWorker
+	free    time.Time
+	saved   time.Time
+	// lapsed counts runs that ended with a lease.
+	lapsed     int
+	firstStart map[identifier.Job]time.Duration
+}
+
+func newLink(t *testing.T, workers int) *link {
+	var entries []connector.WorkerEntry
+	for i := range workers {
+		e := workerEntry(identifier.Worker(fmt.Sprintf("w%03d", i)))
+		e.Capacity = identifier.Size{Processors: 64_000, Memory: 128_000}
+		entries = append(entries, e)
+	}
+	b := newBench(t, entries...)
+	l := &link{b: b, began: b.now, workers: map[identifier.Worker]*linkWorker{}, free: b.now, saved: b.now, firstStart: map[identifier.Job]time.Duration{}}
+	for _, e := range entries {
+		l.workers[e.ID] = &linkWorker{runs: map[connector.RunID]struct{}{}, past: map[connector.RunID]struct{}{}}
+	}
+	return l
+}
+
+// clock is the time of all workers' clocks.
+func (l *link) clock() connector.WorkerClock { return connector.WorkerClock(l.b.now.Sub(l.began)) + 1 }
+
+// run lets time pass.
+func (l *link) run(d time.Duration) {
+	for end := l.b.now.Add(d); l.b.now.Before(end); {
+		var events []Event
+		events = append(events, l.deliver()...)
+		events = append(events, l.answerLooks()...)
+		events = append(events, l.expire()...)
+		l.lapse()
+		l.b.update(tickTime, events...)
+		l.send()
+		if l.b.now.Sub(l.saved) >= saveTime && l.b.p.Dirty() {
+			l.saved = l.b.now
+			l.b.save()
+			l.send()
+		}
+	}
+}
+
+func (l *link) send() {
+	for _, c := range l.b.commands {
+		l.queue = append(l.queue, linkOrder{command: c, sent: l.b.now})
+	}
+	l.b.commands = nil
+}
+
+// deliver carries out the orders that have passed the link.
+func (l *link) deliver() []Event {
+	var events []Event
+	for len(l.queue) > 0 && !l.free.After(l.b.now) {
+		o := l.queue[0]
+		l.queue = l.queue[1:]
+		l.free = later(l.free, l.b.now.Add(-tickTime)).Add(linkTime)
+		events = append(events, l.carryOut(o)...)
+	}
+	return events
+}
+
+func (l *link) carryOut(o linkOrder) []Event {
+	switch c := o.command.(type) {
+	case StartRun:
+		w := l.workers[c.To.ID]
+		answer := connector.OrderAnswer{Verdict: w.begin(c.Order, l.clock()), Clock: l.clock()}
+		if answer.Verdict == connector.VerdictOK {
+			if _, known := l.firstStart[c.Order.Run.Task.Job]; !known {
+				l.firstStart[c.Order.Run.Task.Job] = l.b.now.Sub(l.began)
+			}
+		}
+		if o.expired {
+			return nil
+		}
+		return []Event{StartAnswered{Worker: c.To.ID, Run: c.Order.Run, Epoch: c.Order.Epoch, Answer: answer}}
+	case HoldWorker:
+		w := l.workers[c.To.ID]
+		w.epoch = max(w.epoch, c.Order.Epoch)
+		if c.Order.LeaseUntil != nil {
+			w.lease = max(w.lease, *c.Order.LeaseUntil)
+		}
+		if !o.expired {
+			w.waiting = append(w.waiting, waitingLook{c, o.sent, l.b.now.Add(c.Order.Wait)})
+		}
+	}
+	return nil
+}
+
+// begin carries a start out as a worker does.
+func (w *linkWorker) begin(o connector.RunOrder, now connector.WorkerClock) connector.OrderVerdict {
+	if o.Epoch < w.epoch {
+		return connector.VerdictFenced
+	}
+	w.epoch = o.Epoch
+	if o.LeaseUntil <= now {
+		return connector.VerdictLate
+	}
+	w.lease = max(w.lease, o.LeaseUntil)
+	if _, ended := w.past[o.Run]; ended {
+		return connector.VerdictOld
+	}
+	w.runs[o.Run] = struct{}{}
+	return connector.VerdictOK
+}
+
+func (l *link) answerLooks() []Event {
+	var events []Event
+	for id, w := range l.workers {
+		w.waiting = slices.DeleteFunc(w.waiting, func(k waitingLook) bool {
+			if l.b.now.Before(k.due) {
+				return false
+			}
+			answer := connector.HoldAnswer{OrderAnswer: connector.OrderAnswer{Verdict: connector.VerdictOK, Clock: l.clock()}, Born: 1}
+			for run := range w.runs {
+				answer.Active = append(answer.Active, connector.ActiveRun{Run: run, Percent: 100})
+			}
+			events = append(events, HoldAnswered{Worker: id, Order: k.hold.Order, SentAt: k.sent, Answer: answer})
+			return true
+		})
+	}
+	return events
+}
+
+// expire gives up orders that have waited for too long; the link carries them still.
+func (l *link) expire() []Event {
+	var events []Event
+	for i := range l.queue {
+		o := &l.queue[i]
+		if o.expired {
+			continue
+		}
+		switch c := o.command.(type) {
+		case StartRun:
+			if l.b.now.Sub(o.sent) >= orderTime {
+				o.expired = true
+				events = append(events, StartAnswered{Worker: c.To.ID, Run: c.Order.Run, Epoch: c.Order.Epoch, Err: errLost})
+			}
+		case HoldWorker:
+			if l.b.now.Sub(o.sent) >= c.Order.Wait+lookTime {
+				o.expired = true
+				events = append(events, HoldAnswered{Worker: c.To.ID, Order: c.Order, SentAt: o.sent, Err: errLost})
+			}
+		}
+	}
+	return events
+}
+
+func (l *link) lapse() {
+	for _, w := range l.workers {
+		if len(w.runs) == 0 || w.lease > l.clock() {
+			continue
+		}
+		l.lapsed += len(w.runs)
+		for run := range w.runs {
+			w.past[run] = struct{}{}
+		}
+		clear(w.runs)
+	}
+}
+
+func (l *link) running() int {
+	n := 0
+	for _, w := range l.workers {
+		n += len(w.runs)
+	}
+	return n
+}
+
+// TestBurstBeyondTheLinkIsServedAtItsRate checks that more starts at once than the
+// holder can send within their timeouts neither let leases lapse nor keep tasks from
+// running for longer than twice the time that the link needs.
+func TestBurstBeyondTheLinkIsServedAtItsRate(t *testing.T) {
+	const workers, jobs, tasks = 40, 10, 100
+	l := newLink(t, workers)
+	l.run(time.Second)
+	for i := range jobs {
+		l.b.submit(identifier.Job(fmt.Sprintf("%016x", i)), submitter.Step{Count: tasks, Size: small, LongRunning: true})
+	}
+	l.run(2 * jobs * tasks * linkTime)
+	if got := l.running(); got != jobs*tasks {
+		t.Errorf("%d of %d tasks run after twice the time that the link needs", got, jobs*tasks)
+	}
+	if l.lapsed > 0 {
+		t.Errorf("%d runs lapsed", l.lapsed)
+	}
+}
+
+// TestUrgentTasksPassABurst checks that an urgent job which comes behind a burst of
+// others starts within the target for urgent work.
+func TestUrgentTasksPassABurst(t *testing.T) {
+	const workers, jobs, tasks = 40, 10, 100
+	const urgentTarget = 2100 * time.Millisecond
+	l := newLink(t, workers)
+	l.run(time.Second)
+	patient := queueConfig
+	patient.Priority = 2
+	for i := range jobs {
+		l.b.update(0, JobSubmitted{Job: submitter.Job{ID: identifier.Job(fmt.Sprintf("%016x", i)), Queue: "patient", Steps: []submitter.Step{{Count: tasks, Size: small, LongRunning: true}}}, Queue: patient})
+		l.send()
+	}
+	l.run(100 * time.Millisecond)
+	const urgent identifier.Job = "00000000000000aa"
+	came := l.b.now.Sub(l.began)
+	l.b.submit(urgent, submitter.Step{Count: 1, Size: small, LongRunning: true})
+	l.send()
+	l.run(10 * time.Second)
+	started, ok := l.firstStart[urgent]
+	if !ok || started-came > urgentTarget {
+		t.Errorf("urgent job started %v after it came (ever: %v), want at most %v", started-came, ok, urgentTarget)
+	}
+}
+
+// TestStartThatWasNotSentFreesItsTask checks that a task is not kept waiting for a
+// lease by a start that certainly did not reach its worker, and is by one that may have.
+func TestStartThatWasNotSentFreesItsTask(t *testing.T) {
+	errNotSent := errors.Mark(errors.New("order was too old to be sent"), connector.ErrNotSent)
+	tests := map[string]struct {
+		errs  []error
+		freed bool
+	}{
+		"never sent":             {[]error{errNotSent}, true},
+		"sent, then not sent":    {[]error{errLost, errNotSent}, false},
+		"sent twice, no answers": {[]error{errLost, errLost}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, workerEntry("w"), workerEntry("v"))
+			b.update(0)
+			b.look("w", connector.HoldAnswer{})
+			s := b.startOne(lasting)
+			w := b.p.workers["w"]
+			b.p.setHolding(w, true)
+			for _, err := range tt.errs {
+				b.update(time.Millisecond, StartAnswered{Worker: "w", Run: s.Order.Run, Epoch: s.Order.Epoch, Err: err})
+			}
+			b.update(time.Second)
+			if _, kept := w.runs[s.Order.Run]; kept == tt.freed {
+				t.Fatalf("run kept: %v, want %v", kept, !tt.freed)
+			}
+		})
+	}
+}
