Starts under way are bounded by how many are answered in time

Cause: the planner sent every start for which it found a place. A burst beyond what the holder's processor or link carries timed out as a whole, was sent again at once, and each task then waited for a lease; looks and memberships timed out behind them.

Change: internal/limiter.Window counts starts from claim to answer; it grows with answers in time and is halved when most are late or missing. Tasks beyond it stay ready, so that the next in the order of service starts first. A cut is logged.

Ruled out: the processor (0.06 cores of 0.12 used).

--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -15,6 +15,7 @@
 		task: t, size: t.group.step.Size, phase: runClaimed, pace: fullPace, started: p.now,
 	}
 	p.reserve(w, r)
+	p.startBegins(r)
 	t.runs = append(t.runs, r)
 	t.group.job.runs++
 	p.leaveReady(t, taskPlaced)
@@ -43,6 +44,7 @@
 // forgetRun removes a run that certainly goes on nowhere.
 func (p *Planner) forgetRun(r *run) {
 	p.free(r.worker, r)
+	p.startEnds(r)
 	t := r.task
 	for i, other := range t.runs {
 		if other == r {
@@ -59,6 +61,7 @@
 	r.phase = runStarting
 	r.epoch = p.epochOf(w)
 	r.tries++
+	r.sentAt = p.now
 	ticket, _, _ := p.permitted(r.task.group, w)
 	p.emit(StartRun{To: w.target(), Order: connector.RunOrder{
 		Run: r.id, Spec: r.task.group.job.def.Spec, Epoch: r.epoch,
--- a/internal/planner/log.go
+++ b/internal/planner/log.go
@@ -40,6 +40,9 @@
 	RunLost(run connector.RunID, worker identifier.Worker, renewal Renewal)
 	ClaimWithdrawn(run connector.RunID, worker identifier.Worker, reason string)
 	TasksWait(w Wait)
+	// StartsLimited tells how many starts may be under way from now on, and how long the
+	// last late one took.
+	StartsLimited(limit int, took time.Duration)
 	ServiceResumed(run connector.RunID, worker identifier.Worker, out time.Duration)
 	StartUnanswered(run connector.RunID, worker identifier.Worker, try int, err error)
 	StartRefused(run connector.RunID, worker identifier.Worker, verdict connector.OrderVerdict)
@@ -87,3 +90,5 @@
 func (noLog) WorkerChanged(identifier.Worker, string) {}
 
 func (noLog) WorkerSilent(identifier.Worker, time.Duration, error) {}
+
+func (noLog) StartsLimited(int, time.Duration) {}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -166,8 +166,7 @@
 		return
 	}
 	if r.phase == runStarting || r.phase == runUnsure {
-		r.phase, r.answered, r.progress = runActive, p.now, p.now
-		p.serviceResumed(r)
+		p.activated(r)
 	}
 	if a.Percent != r.percent {
 		r.percent, r.progress = a.Percent, p.now
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -18,6 +18,7 @@
 	if r == nil || r.phase != runStarting {
 		return
 	}
+	p.observeStart(r, e.Err == nil)
 	if e.Err != nil {
 		p.startUnanswered(r, e.Err)
 		return
@@ -27,9 +28,8 @@
 	switch e.Answer.Verdict {
 	case connector.VerdictOK, connector.VerdictOld:
 		w.renewedBy(e.Answer, p.now)
-		p.serviceResumed(r)
 		// A run that is called old has ended; the next look brings its end.
-		r.phase, r.answered, r.progress = runActive, p.now, p.now
+		p.activated(r)
 		if r.unwanted {
 			p.stop(r)
 		}
@@ -46,6 +46,13 @@
 	}
 }
 
+// activated notes that a run is at its worker.
+func (p *Planner) activated(r *run) {
+	r.phase, r.answered, r.progress = runActive, p.now, p.now
+	p.startEnds(r)
+	p.serviceResumed(r)
+}
+
 // startUnanswered repeats a start once; after that the worker's epoch is raised
 // so that none of them can take effect any more.
 func (p *Planner) startUnanswered(r *run, err error) {
@@ -60,6 +67,7 @@
 // doubt makes the next look at the worker decide about a run.
 func (p *Planner) doubt(r *run) {
 	r.phase = runUnsure
+	p.startEnds(r)
 	w := r.worker
 	if identifier.Epoch(w.sequence) <= r.epoch&(1<<sequenceBits-1) {
 		w.sequence++
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -19,6 +19,10 @@
 	}
 	full := p.beginPass()
 	for _, j := range p.waitingJobs() {
+		if p.starts.Full() {
+			p.logWaits()
+			return
+		}
 		for _, groups := range j.occurrences {
 			for _, g := range groups {
 				p.placeGroup(g, full)
@@ -53,6 +57,9 @@
 		if t.phase != taskReady || p.now.Before(t.notBefore) {
 			continue
 		}
+		if p.starts.Full() {
+			return
+		}
 		if d := p.demandOf(t, patience); d != last || !covered {
 			last, covered = d, full.covers(p.now, d, g.step.Size)
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -12,6 +12,7 @@
 
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/estimator"
+	"github.com/balsamcove/balsamcove/internal/limiter"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
 
@@ -92,6 +93,9 @@
 	// questions counts those to the adviser that are under way.
 	questions int
 
+	// starts bounds those that are under way.
+	starts *limiter.Window
+
 	// waits bounds the log lines about steps that wait.
 	waits waitBudget
 
@@ -135,6 +139,7 @@
 		harm:              estimator.New(),
 		servingImages:     map[identifier.Image]int{},
 		neighbours:        map[imagePair]int{},
+		starts:            limiter.NewWindow(),
 	}
 	for _, o := range opts {
 		o(p)
--- a/internal/planner/waiter.go
+++ b/internal/planner/waiter.go
@@ -27,7 +27,7 @@
 	return b.lines <= waitLines
 }
 
-// logWaits logs which steps that last wait for a worker while nothing is placed.
+// logWaits logs which steps that last wait for a worker while nothing more is placed.
 func (p *Planner) logWaits() {
 	for j := range p.waiting {
 		if !j.lasts() {
@@ -51,11 +51,19 @@
 		return
 	}
 	g.waitLogged = p.now
-	reason := "the directory is too old"
-	if p.fresh() {
-		reason = p.explainTask(t)
+	p.log.TasksWait(Wait{Job: g.job.def.ID, Step: g.index, Tasks: g.ready, Waited: p.now.Sub(t.readyAt), Reason: p.reasonToWait(t)})
+}
+
+// reasonToWait says what keeps a ready task from being placed.
+func (p *Planner) reasonToWait(t *task) string {
+	switch {
+	case !p.fresh():
+		return "the directory is too old"
+	case p.starts.Full():
+		return "as many starts are under way as are answered in time"
+	default:
+		return p.explainTask(t)
 	}
-	p.log.TasksWait(Wait{Job: g.job.def.ID, Step: g.index, Tasks: g.ready, Waited: p.now.Sub(t.readyAt), Reason: reason})
 }
 
 // serviceResumed notes that a task that lasts runs again.
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -37,6 +37,10 @@
 	answered time.Time
 	started  time.Time
 	tries    int
+	// sentAt is when the last start was sent.
+	sentAt time.Time
+	// underWay is set while the run counts in the window of starts.
+	underWay bool
 	// inherited is set if an earlier holder started the run, so that it is not known
 	// how long it has run.
 	inherited bool
--- a/internal/supervisor/log.go
+++ b/internal/supervisor/log.go
@@ -90,6 +90,12 @@
 		zap.Duration("waitedMs", w.Waited), zap.String("reason", w.Reason))
 }
 
+// StartsLimited implements planner.Log.
+func (l PlanLog) StartsLimited(limit int, took time.Duration) {
+	l.meter.Decided("startsLimited")
+	l.logger.Warn("starts are limited, answers come late", zap.Int("limit", limit), zap.Duration("tookMs", took))
+}
+
 // ServiceResumed implements planner.Log.
 func (l PlanLog) ServiceResumed(run connector.RunID, worker identifier.Worker, out time.Duration) {
 	l.meter.Resumed(out)
