A start that was not sent frees its task at once

Cause: a start without an answer keeps its task until the worker answers under a higher epoch or its lease is over, also if the start never left this side: no connection, no room in the pool, an order that a calling host dropped as too old, a term that was not valid.

Change: if no try of a run may have reached its worker, the claim is given up and the task goes elsewhere. One try of unknown effect keeps the old way (the test's other cases). A call through a host that is gone already is marked as not sent only, not as unknown too.

--- a/internal/carrier/pool.go
+++ b/internal/carrier/pool.go
@@ -43,6 +43,9 @@
 // errHostGone marks a call whose host was lost before it told the answer.
 var errHostGone = errors.Mark(errors.New("the host that calls the worker is gone"), connector.ErrUnknown)
 
+// errNoHost marks a call whose host was lost before it got the order.
+var errNoHost = errors.Mark(errors.New("the host that calls the worker is gone already"), connector.ErrNotSent)
+
 // Pool makes the calls of a holder through the hosts that offered themselves, or by
 // itself while its workers are few. Its methods are safe for concurrent use.
 type Pool struct {
--- a/internal/carrier/session.go
+++ b/internal/carrier/session.go
@@ -93,7 +93,7 @@
 func (s *session) do(ctx context.Context, o order, spec string) (reply, error) {
 	ch, number, ok := s.expect()
 	if !ok {
-		return reply{}, errors.Mark(errHostGone, connector.ErrNotSent)
+		return reply{}, errNoHost
 	}
 	o.Number = number
 	s.orders.put(specifiedOrder{o, spec})
--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -109,6 +109,9 @@
 	// maxStartTries is how often a start without an answer is repeated before
 	// the worker's epoch is raised against it.
 	maxStartTries = 2
+	// notSentPause delays the next run of a task whose start could not be sent: several
+	// times the way of a batch of orders.
+	notSentPause = 100 * time.Millisecond
 	// failurePause delays the next run of a task that failed, by its failures.
 	failurePause = 20 * time.Millisecond
 )
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"github.com/cockroachdb/errors"
+
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
@@ -54,9 +56,15 @@
 }
 
 // startUnanswered repeats a start once; after that the worker's epoch is raised
-// so that none of them can take effect any more.
+// so that none of them can take effect any more. A start that never left this side is
+// taken back at once instead.
 func (p *Planner) startUnanswered(r *run, err error) {
 	p.log.StartUnanswered(r.id, r.worker.id, r.tries, err)
+	r.exposed = r.exposed || !errors.Is(err, connector.ErrNotSent) || errors.Is(err, connector.ErrUnknown)
+	if !r.exposed {
+		p.takeBack(r)
+		return
+	}
 	if r.tries < maxStartTries && !r.unwanted && p.usable(r.worker) && p.fresh() {
 		p.sendStart(r)
 		return
@@ -64,6 +72,15 @@
 	p.doubt(r)
 }
 
+// takeBack gives up a run that its worker has certainly not heard of. The task goes
+// elsewhere if it can.
+func (p *Planner) takeBack(r *run) {
+	t := r.task
+	t.failedOn, t.notBefore = r.worker.id, p.now.Add(notSentPause)
+	p.forgetRun(r)
+	p.requeue(t)
+}
+
 // doubt makes the next look at the worker decide about a run.
 func (p *Planner) doubt(r *run) {
 	r.phase = runUnsure
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -37,6 +37,8 @@
 	answered time.Time
 	started  time.Time
 	tries    int
+	// exposed is set once a start may have reached the worker.
+	exposed bool
 	// sentAt is when the last start was sent.
 	sentAt time.Time
 	// underWay is set while the run counts in the window of starts.
