A holder that was paused does not take its hosts for silent

A frozen holder does the same when it wakes: the beats that came meanwhile wait unread in its sockets.

Cause: silence was counted over time in which the holder did not run itself.

TestPausedHolderKeepsItsHosts fails without it ('the holder did not run').

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -303,6 +303,31 @@
 	}
 }
 
+// TestPausedHolderKeepsItsHosts checks that a holder which did not run itself for a while
+// does not take that for the silence of the hosts that call workers for it.
+func TestPausedHolderKeepsItsHosts(t *testing.T) {
+	tests := map[string]struct {
+		quiet, paused time.Duration
+		kept          bool
+	}{
+		"beats come":                  {silence / 3, sweepPeriod, true},
+		"silent":                      {2 * silence, sweepPeriod, false},
+		"the holder did not run":      {2 * silence, 2*silence + sweepPeriod, true},
+		"silent before it was paused": {4 * silence, silence + sweepPeriod, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := NewPool(nil, 0, zap.NewNop())
+			s := newSession(messenger.Peer{}, Offer{"h", "a", 100}, uptimer.Now, p.gap)
+			s.heardAt = time.Now().Add(-tt.quiet)
+			p.sessions[messenger.Peer{}] = s
+			if kept := len(p.silent(tt.paused)) == 0; kept != tt.kept {
+				t.Fatalf("host kept: %v, want %v", kept, tt.kept)
+			}
+		})
+	}
+}
+
 // TestHostLeavesASilentHolder checks that a host whose connection to the holder goes
 // silent for good offers itself again over a new one.
 func TestHostLeavesASilentHolder(t *testing.T) {
--- a/internal/carrier/pool.go
+++ b/internal/carrier/pool.go
@@ -113,8 +113,9 @@
 // Run lets silent hosts go until ctx ends.
 func (p *Pool) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		began := time.Now()
 		sleeper.Pause(ctx, sweepPeriod)
-		for _, s := range p.silent() {
+		for _, s := range p.silent(time.Since(began)) {
 			p.logger.Warn("host that calls workers is silent", zap.String("host", string(s.offer.Name)))
 			s.close()
 		}
@@ -123,11 +124,17 @@
 	return nil
 }
 
-func (p *Pool) silent() []*session {
+// silent returns the hosts that have sent nothing for too long. Paused is how long the
+// pause before took: what is beyond sweepPeriod this process did not run itself, and
+// may not have read what was sent to it.
+func (p *Pool) silent(paused time.Duration) []*session {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []*session
 	for _, s := range p.sessions {
+		if missed := paused - sweepPeriod; missed > sweepPeriod {
+			s.excuse(missed)
+		}
 		if s.silentFor() > silence {
 			out = append(out, s)
 		}
--- a/internal/carrier/session.go
+++ b/internal/carrier/session.go
@@ -89,6 +89,13 @@
 	return time.Since(s.heardAt)
 }
 
+// excuse does not count a time as silence.
+func (s *session) excuse(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heardAt = s.heardAt.Add(d)
+}
+
 // do makes a call through the host and waits for the answer.
 func (s *session) do(ctx context.Context, o order, spec string) (reply, error) {
 	ch, number, ok := s.expect()
