--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -424,6 +424,26 @@
 	}
 }
 
+// TestClaimWaitsForAFreshDirectory checks that a claim which is stored in a moment in
+// which the directory is too old is sent once it is fresh again, with the run number that
+// was stored, and not before: the worker was told nothing, so that the claim stays good.
+func TestClaimWaitsForAFreshDirectory(t *testing.T) {
+	b := newBench(t, workerEntry("w"))
+	b.update(0)
+	b.look("w", connector.HoldAnswer{})
+	b.submit("00000000000000aa", submitter.Step{Count: 1, Size: small})
+	batch := b.p.TakeBatch()
+	b.now = b.now.Add(2*time.Second + time.Millisecond)
+	if s, ok := find[StartRun](b.p.Update(b.now, BatchSaved{batch}), func(StartRun) bool { return true }); ok {
+		t.Fatalf("start %+v under a directory that is too old", s)
+	}
+	b.update(time.Millisecond)
+	starts := b.starts()
+	if len(starts) != 1 || starts[0].Order.Run.Attempt != 1 {
+		t.Fatalf("starts %+v, want run 1 as it was stored", starts)
+	}
+}
+
 // TestWorkerThatFailsAllIsLeftAlone checks that failures of several jobs on one
 // worker keep new runs away from it, and that it is tried again.
 func TestWorkerThatFailsAllIsLeftAlone(t *testing.T) {
