A stored claim waits for a fresh directory instead of being withdrawn

Cause: a claim that was stored while the directory was too old was given up, and its task claimed again under the next number, which needs another append.

TestClaimWaitsForAFreshDirectory failed before.

Change: the claim is held and checked again once the directory is fresh. Its worker was told nothing, so that the claim stays good; what keeps runs from the worker by then still withdraws it (TestWithdrawnClaimsAreLogged).

--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -70,11 +70,16 @@
 }
 
 // startClaimed sends the start of a run whose claim is stored, if that is still
-// wanted.
+// wanted. While the directory is too old the claim is held, since its data centre may
+// have been evacuated meanwhile.
 func (p *Planner) startClaimed(r *run) {
 	if r.phase != runClaimed || r.worker.runs[r.id] != r {
 		return
 	}
+	if !r.unwanted && !p.fresh() {
+		p.heldClaims = append(p.heldClaims, r)
+		return
+	}
 	if reason := p.reasonToWithdraw(r); reason != "" {
 		p.log.ClaimWithdrawn(r.id, r.worker.id, reason)
 		p.unclaim(r)
@@ -90,6 +95,19 @@
 	p.sendStart(r)
 }
 
+// startHeld sends the starts of claims that were stored while the directory was too old,
+// once it is fresh. Their workers were told nothing, so that the claims stay good.
+func (p *Planner) startHeld() {
+	if len(p.heldClaims) == 0 || !p.fresh() {
+		return
+	}
+	held := p.heldClaims
+	p.heldClaims = nil
+	for _, r := range held {
+		p.startClaimed(r)
+	}
+}
+
 // reasonToWithdraw says why a claim must not be sent to its worker any more; it is
 // empty if nothing speaks against it.
 func (p *Planner) reasonToWithdraw(r *run) string {
@@ -98,8 +116,6 @@
 		return "the run is not wanted any more"
 	case o != obstacleNone:
 		return "such workers " + string(o)
-	case !p.fresh():
-		return "the directory is too old"
 	default:
 		return ""
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -103,9 +103,11 @@
 	retired   []Retired
 	retiredAt time.Time
 	claims    []*run
-	ends      map[*worker]identifier.EndNumber
-	marks     uint64
-	commands  []Command
+	// heldClaims are stored and wait for a fresh directory.
+	heldClaims []*run
+	ends       map[*worker]identifier.EndNumber
+	marks      uint64
+	commands   []Command
 }
 
 // Option changes a new planner.
@@ -159,6 +161,7 @@
 // Update takes events into account and returns what has to be done now.
 func (p *Planner) Update(now time.Time, events ...Event) []Command {
 	p.Inform(now, events...)
+	p.startHeld()
 	p.activateDue()
 	p.expireSilentWorkers()
 	p.retire()
