--- a/internal/supervisor/candidate_test.go
+++ b/internal/supervisor/candidate_test.go
@@ -43,3 +43,33 @@
 		})
 	}
 }
+
+// TestHostThatWasCutOffDoesNotStandIn checks that a small host which could not know the
+// others waits, once it can, as long as one that has just started: it has not seen that
+// no larger host holds cells, but seen nothing.
+func TestHostThatWasCutOffDoesNotStandIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reached := false
+		c := &candidacy{
+			cores:   0.2,
+			largest: func() (float64, bool) { return 0.8, reached },
+			owners:  func() []string { return nil },
+			coresOf: func(string) float64 { return 0 }, largerSeen: time.Now(),
+		}
+		for range 10 {
+			time.Sleep(standInAfter / 5)
+			_ = c.candidate()
+		}
+		reached = true
+		if c.candidate() {
+			t.Fatal("stands in as soon as it reaches the store, before it knows who holds cells")
+		}
+		for range 6 {
+			time.Sleep(standInAfter / 5)
+			_ = c.candidate()
+		}
+		if !c.candidate() {
+			t.Fatal("does not stand in although no larger host holds cells")
+		}
+	})
+}
