A host that was cut off does not stand in before it knows who holds cells

Cause: a small host counts the time since it last knew a larger holder, also while it can know of none. front-tallinn-c-3 (0.192 cores) restarted inside a cut, reached the store after 4 s and took the cell at once, for 2.4 s without a term.

Change: the time begins once the sizes of hosts are known. Safety does not rest on it, since the store deals the cells. If the store serves all but the announcements to hosts that have all just started, none holds a cell until they can be read.

--- a/internal/supervisor/candidate.go
+++ b/internal/supervisor/candidate.go
@@ -27,7 +27,13 @@
 func (c *candidacy) candidate() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if largest, known := c.largest(); known && c.cores >= largest {
+	largest, known := c.largest()
+	if !known {
+		// A host that cannot know of larger ones has not seen that there are none.
+		c.largerSeen = time.Now()
+		return false
+	}
+	if c.cores >= largest {
 		return true
 	}
 	for _, address := range c.owners() {
