Unknown sizes still let a host stand in, but not time in a cut

Change: the wait begins anew when sizes become known, and does not count while the store is not reached. TestHostInACutDoesNotStandIn is new; all three tests pass.

--- a/internal/supervisor/candidate.go
+++ b/internal/supervisor/candidate.go
@@ -17,8 +17,12 @@
 	largest func() (cores float64, known bool)
 	owners  func() []string
 	coresOf func(address string) float64
+	// reachable reports whether the store was reached lately; nil if that is not known.
+	reachable func() bool
 
 	mu sync.Mutex
+	// known is whether the sizes of hosts were known at the last look.
+	known bool
 	// largerSeen is when a larger host was last known to hold cells.
 	largerSeen time.Time
 }
@@ -28,12 +32,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	largest, known := c.largest()
-	if !known {
-		// A host that cannot know of larger ones has not seen that there are none.
-		c.largerSeen = time.Now()
-		return false
+	if known != c.known || c.reachable != nil && !c.reachable() {
+		// A host that could not know of larger ones has not seen that there are none.
+		c.largerSeen, c.known = time.Now(), known
 	}
-	if c.cores >= largest {
+	if known && c.cores >= largest {
 		return true
 	}
 	for _, address := range c.owners() {
--- a/internal/supervisor/candidate_test.go
+++ b/internal/supervisor/candidate_test.go
@@ -73,3 +73,33 @@
 		}
 	})
 }
+
+// TestHostInACutDoesNotStandIn checks that the time in which the store is not reached does
+// not count as one in which no larger host held cells.
+func TestHostInACutDoesNotStandIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reached := true
+		c := &candidacy{
+			cores:     0.2,
+			largest:   func() (float64, bool) { return 0.8, true },
+			owners:    func() []string { return nil },
+			coresOf:   func(string) float64 { return 0 },
+			reachable: func() bool { return reached }, largerSeen: time.Now(),
+		}
+		_ = c.candidate()
+		reached = false
+		time.Sleep(2 * standInAfter)
+		if c.candidate() {
+			t.Fatal("stands in while it does not reach the store")
+		}
+		reached = true
+		time.Sleep(standInAfter / 2)
+		if c.candidate() {
+			t.Fatal("stands in soon after a cut")
+		}
+		time.Sleep(standInAfter)
+		if !c.candidate() {
+			t.Fatal("does not stand in although no larger host holds cells")
+		}
+	})
+}
