Late looks renew a lease up to what was asked for before

Cause: after two looks without an answer the lease is not renewed, so that it runs out. The first look that reaches the worker again renewed nothing either; only the one after it. The renewals that went unanswered may never have reached the worker.

Change: such looks ask for the time that was asked for before. What is believed of the lease's end does not move, so that its runs are given up no later. A new life of the worker has a new clock and starts without.

--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -27,7 +27,7 @@
 	// life, so that an acknowledgement must not reach the next one.
 	lifeCertain = 300 * time.Millisecond
 	// renewMisses is after how many looks without an answer the lease is not
-	// renewed any more, so that it runs out.
+	// prolonged any more, so that it runs out.
 	renewMisses = 2
 	// maxListedEnds is how many ends a worker lists at a time.
 	maxListedEnds = 500
@@ -52,10 +52,7 @@
 	if sameLife {
 		order.Forget = w.forget
 	}
-	if w.clockAt.After(time.Time{}) && w.misses < renewMisses && w.current {
-		until := p.leaseUntil(w)
-		order.LeaseUntil = &until
-	}
+	order.LeaseUntil = p.renewal(w)
 	if sameLife && !w.unsaved && !w.inDoubt() {
 		order.Wait = w.holdWait()
 	}
@@ -63,6 +60,24 @@
 	p.emit(HoldWorker{To: w.target(), Order: order})
 }
 
+// renewal returns up to when a look renews a worker's lease; nil if it does not. A
+// worker that has not answered for some looks gets what was asked for before: that may
+// not have reached it, and its runs are waited for until then anyway.
+func (p *Planner) renewal(w *worker) *connector.WorkerClock {
+	switch {
+	case w.clockAt.IsZero() || !w.current:
+		return nil
+	case w.misses < renewMisses:
+		until := p.leaseUntil(w)
+		return &until
+	case w.leaseAsked > w.clock+connector.WorkerClock(p.now.Sub(w.clockAt)):
+		until := w.leaseAsked
+		return &until
+	default:
+		return nil
+	}
+}
+
 // setHolding notes whether a look at a worker is under way.
 func (p *Planner) setHolding(w *worker, holding bool) {
 	w.holding = holding
@@ -140,7 +155,7 @@
 		if w.born != 0 {
 			p.log.WorkerChanged(w.id, "restarted")
 		}
-		w.born, w.seen, w.forget = e.Answer.Born, 0, 0
+		w.born, w.seen, w.forget, w.leaseAsked = e.Answer.Born, 0, 0, 0
 	}
 	for _, ended := range e.Answer.Ended {
 		p.ended(w, ended)
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -78,7 +78,9 @@
 	leaseEnd time.Time
 	// renewAsked is when an order that renews the lease was last sent, renewed when one
 	// was last answered, and renewedThrough which host made that call.
-	renewAsked     time.Time
+	renewAsked time.Time
+	// leaseAsked is the latest time of the worker's clock up to which that was.
+	leaseAsked     connector.WorkerClock
 	renewed        time.Time
 	renewedThrough identifier.Entry
 	born           identifier.UnixMillis
@@ -163,7 +165,7 @@
 	if end := w.clockAt.Add(span); end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
-	w.renewAsked = p.now
+	w.renewAsked, w.leaseAsked = p.now, max(w.leaseAsked, until)
 	return until
 }
 
