Orders whose caller has left are not sent through hosts

Cause: an order that waited in the queue of a calling host's connection was sent after its caller had left, with its whole timeout, which counted from the sending; and its caller was told that it may have been carried out. Under a burst that is most of the queue.

Change: an order that is still queued when its caller leaves is taken out, and is known not to have been sent, so that its task goes on at once. One that is sent has only the time that its caller still waits. TestAbandonedOrdersAreNotSent fails without either. A literal in FuzzDecodeOrders names its fields now, since the type has one more.

--- a/internal/carrier/assigner_test.go
+++ b/internal/carrier/assigner_test.go
@@ -149,7 +149,7 @@
 
 // FuzzDecodeOrders checks that no bytes bring a host down.
 func FuzzDecodeOrders(f *testing.F) {
-	good, err := encode(0, pack([]specifiedOrder{{order{Number: 1, Kind: orderHold, Worker: "w"}, "s"}}))
+	good, err := encode(0, pack([]specifiedOrder{{order: order{Number: 1, Kind: orderHold, Worker: "w"}, spec: "s"}}))
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -328,6 +328,37 @@
 	}
 }
 
+// TestAbandonedOrdersAreNotSent checks that an order whose caller leaves while it is
+// queued is not sent any more and said to be so, and that one that is sent has only the
+// time that its caller still waits.
+func TestAbandonedOrdersAreNotSent(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	s := newSession(messenger.Peer{}, Offer{"h", "a", 100}, uptimer.Now, func() time.Duration { return leastGap })
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	if _, err := s.do(ctx, order{Kind: orderStart}, "s"); !errors.Is(err, connector.ErrNotSent) || errors.Is(err, connector.ErrUnknown) {
+		t.Errorf("error %v of an order that was never sent", err)
+	}
+	if left := s.orders.take(); len(left) != 0 {
+		t.Errorf("%d orders are sent without a caller", len(left))
+	}
+	ctx, cancel = context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	sent := make(chan orders)
+	go func() {
+		<-s.orders.ready
+		sleeper.Pause(ctx, timeout/2)
+		sent <- pack(s.orders.take())
+	}()
+	_, err := s.do(ctx, order{Kind: orderStart}, "s")
+	if !errors.Is(err, connector.ErrUnknown) || errors.Is(err, connector.ErrNotSent) {
+		t.Errorf("error %v of an order that was sent", err)
+	}
+	if got := (<-sent).List[0].Timeout; got <= 0 || got > timeout/2 {
+		t.Errorf("order sent with a timeout of %v, its caller waits %v more", got, timeout/2)
+	}
+}
+
 // TestHostLeavesASilentHolder checks that a host whose connection to the holder goes
 // silent for good offers itself again over a new one.
 func TestHostLeavesASilentHolder(t *testing.T) {
--- a/internal/carrier/pool.go
+++ b/internal/carrier/pool.go
@@ -257,9 +257,6 @@
 		return reply{}, false, nil
 	}
 	o.Worker, o.Address = to.ID, to.Address
-	if deadline, bounded := ctx.Deadline(); bounded {
-		o.Timeout = time.Until(deadline)
-	}
 	r, err = s.do(ctx, o, spec)
 	r.through = s.offer.Name
 	if err == nil {
--- a/internal/carrier/sender.go
+++ b/internal/carrier/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,6 +65,19 @@
 	}
 }
 
+// remove takes the first item that matches out of the queue; ok is false if none is
+// queued any more.
+func (s *sender[T]) remove(match func(T) bool) (ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.IndexFunc(s.queue, match)
+	if i < 0 {
+		return false
+	}
+	s.queue = slices.Delete(s.queue, i, i+1)
+	return true
+}
+
 func (s *sender[T]) take() []T {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/carrier/session.go
+++ b/internal/carrier/session.go
@@ -11,10 +11,12 @@
 	"github.com/balsamcove/balsamcove/internal/messenger"
 )
 
-// specifiedOrder is an order with the spec of its run.
+// specifiedOrder is an order with the spec of its run, and when its caller leaves; zero
+// is never.
 type specifiedOrder struct {
 	order
-	spec string
+	spec  string
+	leave time.Time
 }
 
 // session is a host that makes calls for this holder, as long as its connection lasts.
@@ -59,6 +61,9 @@
 			}
 			o.Spec = place
 		}
+		if !o.leave.IsZero() {
+			o.Timeout = time.Until(o.leave)
+		}
 		out.List = append(out.List, o.order)
 	}
 	return out
@@ -103,7 +108,8 @@
 		return reply{}, errNoHost
 	}
 	o.Number = number
-	s.orders.put(specifiedOrder{o, spec})
+	leave, _ := ctx.Deadline()
+	s.orders.put(specifiedOrder{o, spec, leave})
 	select {
 	case r, answered := <-ch:
 		if !answered {
@@ -114,7 +120,11 @@
 		s.mu.Lock()
 		delete(s.pending, number)
 		s.mu.Unlock()
-		return reply{}, errors.Mark(errors.Wrapf(ctx.Err(), "no answer through %s", s.offer.Name), connector.ErrUnknown)
+		effect := connector.ErrUnknown
+		if s.orders.remove(func(o specifiedOrder) bool { return o.Number == number }) {
+			effect = connector.ErrNotSent
+		}
+		return reply{}, errors.Mark(errors.Wrapf(ctx.Err(), "no answer through %s", s.offer.Name), effect)
 	}
 }
 
