--- a/internal/planner/congestion_test.go
+++ b/internal/planner/congestion_test.go
@@ -36,6 +36,8 @@
 	lease connector.WorkerClock
 	runs  map[connector.RunID]struct{}
 	past  map[connector.RunID]struct{}
+	// ended are those that were stopped.
+	ended []connector.EndedRun
 	epoch identifier.Epoch
 	// waiting are looks that the worker answers later.
 	waiting []waitingLook
@@ -50,14 +52,21 @@
 // link is a holder's only way to its workers: it carries one order after the other,
 // late ones too. It answers the load that is offered to a host too small for it.
 type link struct {
-	b       *bench
-	began   time.Time
-	queue   []linkOrder
+	b     *bench
+	began time.Time
+	queue []linkOrder
+	// silent are orders that passed the link and reach nobody.
+	silent  []linkOrder
 	workers map[identifier.Worker]*linkWorker
 	free    time.Time
 	saved   time.Time
+	// appends is how long the store takes to store a batch.
+	appends time.Duration
+	// lost are workers that no order reaches.
+	lost map[identifier.Worker]bool
 	// lapsed counts runs that ended with a lease.
 	lapsed     int
+	lapsedOf   map[identifier.Job]int
 	firstStart map[identifier.Job]time.Duration
 }
 
@@ -69,7 +78,7 @@
 		entries = append(entries, e)
 	}
 	b := newBench(t, entries...)
-	l := &link{b: b, began: b.now, workers: map[identifier.Worker]*linkWorker{}, free: b.now, saved: b.now, firstStart: map[identifier.Job]time.Duration{}}
+	l := &link{b: b, began: b.now, workers: map[identifier.Worker]*linkWorker{}, free: b.now, saved: b.now, appends: saveTime, firstStart: map[identifier.Job]time.Duration{}, lapsedOf: map[identifier.Job]int{}}
 	for _, e := range entries {
 		l.workers[e.ID] = &linkWorker{runs: map[connector.RunID]struct{}{}, past: map[connector.RunID]struct{}{}}
 	}
@@ -89,7 +98,7 @@
 		l.lapse()
 		l.b.update(tickTime, events...)
 		l.send()
-		if l.b.now.Sub(l.saved) >= saveTime && l.b.p.Dirty() {
+		if l.b.now.Sub(l.saved) >= l.appends && l.b.p.Dirty() {
 			l.saved = l.b.now
 			l.b.save()
 			l.send()
@@ -117,6 +126,12 @@
 }
 
 func (l *link) carryOut(o linkOrder) []Event {
+	if to, ok := targetOf(o.command); ok && l.lost[to] {
+		if !o.expired {
+			l.silent = append(l.silent, o)
+		}
+		return nil
+	}
 	switch c := o.command.(type) {
 	case StartRun:
 		w := l.workers[c.To.ID]
@@ -130,6 +145,17 @@
 			return nil
 		}
 		return []Event{StartAnswered{Worker: c.To.ID, Run: c.Order.Run, Epoch: c.Order.Epoch, Answer: answer}}
+	case StopRun:
+		w := l.workers[c.To.ID]
+		if _, runs := w.runs[c.Run]; runs {
+			delete(w.runs, c.Run)
+			w.past[c.Run] = struct{}{}
+			w.ended = append(w.ended, connector.EndedRun{Number: identifier.EndNumber(len(w.past)), Run: c.Run, How: connector.EndStopped})
+		}
+		if o.expired {
+			return nil
+		}
+		return []Event{StopAnswered{Worker: c.To.ID, Run: c.Run, Answer: connector.OrderAnswer{Verdict: connector.VerdictOK, Clock: l.clock()}}}
 	case HoldWorker:
 		w := l.workers[c.To.ID]
 		w.epoch = max(w.epoch, c.Order.Epoch)
@@ -167,7 +193,11 @@
 			if l.b.now.Before(k.due) {
 				return false
 			}
-			answer := connector.HoldAnswer{OrderAnswer: connector.OrderAnswer{Verdict: connector.VerdictOK, Clock: l.clock()}, Born: 1}
+			if l.lost[id] {
+				l.silent = append(l.silent, linkOrder{command: k.hold, sent: k.sent})
+				return true
+			}
+			answer := connector.HoldAnswer{OrderAnswer: connector.OrderAnswer{Verdict: connector.VerdictOK, Clock: l.clock()}, Born: 1, Ended: slices.Clone(w.ended)}
 			for run := range w.runs {
 				answer.Active = append(answer.Active, connector.ActiveRun{Run: run, Percent: 100})
 			}
@@ -181,8 +211,8 @@
 // expire gives up orders that have waited for too long; the link carries them still.
 func (l *link) expire() []Event {
 	var events []Event
-	for i := range l.queue {
-		o := &l.queue[i]
+	for i := range len(l.queue) + len(l.silent) {
+		o := l.underWay(i)
 		if o.expired {
 			continue
 		}
@@ -192,6 +222,11 @@
 				o.expired = true
 				events = append(events, StartAnswered{Worker: c.To.ID, Run: c.Order.Run, Epoch: c.Order.Epoch, Err: errLost})
 			}
+		case StopRun:
+			if l.b.now.Sub(o.sent) >= orderTime {
+				o.expired = true
+				events = append(events, StopAnswered{Worker: c.To.ID, Run: c.Run, Err: errLost})
+			}
 		case HoldWorker:
 			if l.b.now.Sub(o.sent) >= c.Order.Wait+lookTime {
 				o.expired = true
@@ -202,6 +237,28 @@
 	return events
 }
 
+// underWay returns an order without an answer.
+func (l *link) underWay(i int) *linkOrder {
+	if i < len(l.queue) {
+		return &l.queue[i]
+	}
+	return &l.silent[i-len(l.queue)]
+}
+
+// targetOf returns the worker of an order.
+func targetOf(c Command) (identifier.Worker, bool) {
+	switch c := c.(type) {
+	case StartRun:
+		return c.To.ID, true
+	case StopRun:
+		return c.To.ID, true
+	case HoldWorker:
+		return c.To.ID, true
+	default:
+		return "", false
+	}
+}
+
 func (l *link) lapse() {
 	for _, w := range l.workers {
 		if len(w.runs) == 0 || w.lease > l.clock() {
@@ -210,6 +267,7 @@
 		l.lapsed += len(w.runs)
 		for run := range w.runs {
 			w.past[run] = struct{}{}
+			l.lapsedOf[run.Task.Job]++
 		}
 		clear(w.runs)
 	}
--- /dev/null
+++ b/internal/planner/window_test.go
@@ -0,0 +1,88 @@
+package planner
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
+)
+
+// startsUsed returns how many starts the window counts as under way.
+func startsUsed(p *Planner) int {
+	return int(reflect.ValueOf(p.starts).Elem().FieldByName("used").Int())
+}
+
+// startsUnderWay returns how many runs are claimed or have a start on its way.
+func startsUnderWay(p *Planner) int {
+	n := 0
+	for _, w := range p.workers {
+		for _, r := range w.runs {
+			if r.phase == runClaimed || r.phase == runStarting {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestEachStartLeavesTheWindowOnce checks, with silent workers, cancelled jobs, gangs, a
+// slow store and a stale directory, that the window counts the starts under way and is
+// empty in the end.
+func TestEachStartLeavesTheWindowOnce(t *testing.T) {
+	const workers, steps, seeds = 20, 80, 8
+	for seed := range int64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rnd := rand.New(rand.NewSource(seed))
+			l := newLink(t, workers)
+			l.lost = map[identifier.Worker]bool{}
+			l.run(time.Second)
+			var ids []identifier.Job
+			for i := range steps {
+				ids = append(ids, identifier.Job(fmt.Sprintf("%016x", i)))
+				l.disturb(rnd, ids)
+				if used, want := startsUsed(l.b.p), startsUnderWay(l.b.p); used != want {
+					t.Fatalf("step %d: the window counts %d starts, %d are under way", i, used, want)
+				}
+			}
+			clear(l.lost)
+			l.appends = saveTime
+			for _, id := range ids {
+				l.b.update(0, JobCancelled{ID: id, At: 1})
+				l.send()
+			}
+			l.run(40 * time.Second)
+			if used := startsUsed(l.b.p); used != 0 || len(l.b.p.heldClaims) != 0 {
+				t.Fatalf("the window counts %d starts, %d claims are held after all jobs were cancelled", used, len(l.b.p.heldClaims))
+			}
+		})
+	}
+}
+
+// disturb submits the last of some jobs and lets something go wrong.
+func (l *link) disturb(rnd *rand.Rand, ids []identifier.Job) {
+	l.b.submit(ids[len(ids)-1],
+		submitter.Step{Count: 1 + rnd.Intn(30), Size: small, LongRunning: rnd.Intn(2) == 0},
+		submitter.Step{Count: 4, Size: small, Gang: true})
+	l.send()
+	if rnd.Intn(3) == 0 {
+		l.b.update(0, JobCancelled{ID: ids[rnd.Intn(len(ids))], At: 1})
+		l.send()
+	}
+	if rnd.Intn(4) == 0 {
+		l.lost[identifier.Worker(fmt.Sprintf("w%03d", rnd.Intn(len(l.workers))))] = rnd.Intn(2) == 0
+	}
+	if rnd.Intn(5) == 0 {
+		l.appends = time.Duration(rnd.Intn(700)) * time.Millisecond
+	}
+	if rnd.Intn(6) == 0 {
+		// A batch is stored while the directory is too old.
+		l.b.now = l.b.now.Add(l.b.p.settings.Fresh + time.Second)
+		l.b.commands = append(l.b.commands, l.b.p.Update(l.b.now, BatchSaved{l.b.p.TakeBatch()})...)
+		l.send()
+	}
+	l.run(time.Duration(rnd.Intn(400)) * time.Millisecond)
+}
