A host that stands in keeps its cells through a late read; the store counts by look-ups

Change: a host that stands in goes on while its membership lasts; the store counts as reached while look-ups of the holders succeed, which come every 3 s.

--- a/internal/intake/locator.go
+++ b/internal/intake/locator.go
@@ -44,12 +44,13 @@
 	cells  int
 	logger *zap.Logger
 
-	mu      sync.Mutex
-	holders map[identifier.Cell]string
-	owners  []string
-	peers   []string
-	last    time.Time
-	busy    chan struct{}
+	mu       sync.Mutex
+	holders  map[identifier.Cell]string
+	owners   []string
+	peers    []string
+	last     time.Time
+	lookedUp time.Time
+	busy     chan struct{}
 }
 
 // NewLocator returns a locator that knows nobody yet. Self is this host's
@@ -101,21 +102,35 @@
 	return slices.Clone(l.peers)
 }
 
+// LookedUp returns when the holders were last looked up with success.
+func (l *Locator) LookedUp() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lookedUp
+}
+
 // Refresh looks the holders up. Calls in quick succession share one look-up.
 func (l *Locator) Refresh(ctx context.Context) {
+	if !l.refresh(ctx) {
+		sleeper.Pause(ctx, refreshPause/2)
+	}
+}
+
+// refresh looks the holders up unless that was done just before.
+func (l *Locator) refresh(ctx context.Context) (done bool) {
 	select {
 	case l.busy <- struct{}{}:
 	case <-ctx.Done():
-		return
+		return true
 	}
 	defer func() { <-l.busy }()
 	l.mu.Lock()
 	recent := time.Since(l.last) < refreshPause
 	l.mu.Unlock()
 	if recent {
-		sleeper.Pause(ctx, refreshPause/2)
-		return
+		return false
 	}
+	began := time.Now()
 	owners, err := l.lookUp(ctx)
 	if err != nil {
 		l.logger.Debug("holders cannot be looked up", logger.Err(err))
@@ -124,8 +139,10 @@
 	defer l.mu.Unlock()
 	l.last = time.Now()
 	if err == nil {
+		l.lookedUp = began
 		l.learn(owners)
 	}
+	return true
 }
 
 func (l *Locator) lookUp(ctx context.Context) ([]connector.Ownership, error) {
--- a/internal/supervisor/candidate.go
+++ b/internal/supervisor/candidate.go
@@ -17,12 +17,13 @@
 	largest func() (cores float64, known bool)
 	owners  func() []string
 	coresOf func(address string) float64
-	// reachable reports whether the store was reached lately; nil if that is not known.
+	// reachable reports whether the owners were looked up lately; nil if that is not known.
 	reachable func() bool
 
 	mu sync.Mutex
-	// known is whether the sizes of hosts were known at the last look.
-	known bool
+	// known is whether the sizes of hosts were known at the last look, and standsIn what
+	// it said.
+	known, standsIn bool
 	// largerSeen is when a larger host was last known to hold cells.
 	largerSeen time.Time
 }
@@ -32,10 +33,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	largest, known := c.largest()
-	if known != c.known || c.reachable != nil && !c.reachable() {
-		// A host that could not know of larger ones has not seen that there are none.
+	if known != c.known || !c.standsIn && c.reachable != nil && !c.reachable() {
+		// A host that could not know of larger ones has not seen that there are none. One
+		// that stands in goes on; its membership ends if the store stays away.
 		c.largerSeen, c.known = time.Now(), known
 	}
+	c.standsIn = c.mayStandIn(known, largest)
+	return c.standsIn
+}
+
+// mayStandIn reports whether this host is of the largest kind, or no larger one has held
+// cells for long enough.
+func (c *candidacy) mayStandIn(known bool, largest float64) bool {
 	if known && c.cores >= largest {
 		return true
 	}
--- a/internal/supervisor/standin_test.go
+++ b/internal/supervisor/standin_test.go
@@ -4,6 +4,12 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/balsamcove/balsamcove/internal/intake"
+	"github.com/balsamcove/balsamcove/internal/simulator"
+	"github.com/balsamcove/balsamcove/internal/sleeper"
 )
 
 // standIn returns a small host that knows the sizes of all and stands in.
@@ -42,3 +48,27 @@
 		}
 	})
 }
+
+// TestHostWithoutCellsKnowsThatItReachesTheStore checks that a host that holds nothing
+// does not count the store as away while it answers, however seldom it asks.
+func TestHostWithoutCellsKnowsThatItReachesTheStore(t *testing.T) {
+	for name, slow := range map[string]time.Duration{
+		"usual answers": 0, "answers ten times as long": 40 * time.Millisecond, "answers that take a fifth of s": 200 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := simulator.NewStore(1, 1)
+				store.SetFaults(simulator.StoreFaults{Slow: slow})
+				l := intake.NewLocator(store.Client("small"), "self", 1, zap.NewNop())
+				go func() { _ = l.Run(t.Context()) }()
+				sleeper.Pause(t.Context(), time.Second)
+				for range 10_000 {
+					sleeper.Pause(t.Context(), time.Millisecond)
+					if age := time.Since(l.LookedUp()); age > standInAfter {
+						t.Fatalf("store counts as away, last reached %v ago", age)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -112,7 +112,7 @@
 	sup.announcer = announcer.New(s.Name, announcer.Announcement{Address: s.Peers, Cores: s.Cores}, store, logger)
 	candidacy := &candidacy{
 		cores: s.Cores, largest: sup.announcer.Largest, owners: sup.locator.Owners, coresOf: sup.announcer.CoresOf, largerSeen: time.Now(),
-		reachable: func() bool { return time.Since(directory.Current().OperatorSeen) <= s.Term.Planner.Fresh },
+		reachable: func() bool { return time.Since(sup.locator.LookedUp()) <= standInAfter },
 	}
 	for _, o := range opts {
 		o(sup)
