A start that was not sent neither breaks a gang nor doubles a task

A gang's start is sent again first; a task is made ready once none of its runs is left, as elsewhere. TestUnsentStartOfAGangMemberIsSentAgain and TestUnsentStartDoesNotDoubleATask failed before.

--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -61,7 +61,8 @@
 func (p *Planner) startUnanswered(r *run, err error) {
 	p.log.StartUnanswered(r.id, r.worker.id, r.tries, err)
 	r.exposed = r.exposed || !errors.Is(err, connector.ErrNotSent) || errors.Is(err, connector.ErrUnknown)
-	if !r.exposed {
+	// The members of a gang share an attempt, so that one start is better sent again.
+	if !r.exposed && !(r.task.group.step.Gang && r.tries < maxStartTries) {
 		p.takeBack(r)
 		return
 	}
@@ -78,7 +79,9 @@
 	t := r.task
 	t.failedOn, t.notBefore = r.worker.id, p.now.Add(notSentPause)
 	p.forgetRun(r)
-	p.requeue(t)
+	if len(t.runs) == 0 {
+		p.requeue(t)
+	}
 }
 
 // doubt makes the next look at the worker decide about a run.
