The window of starts counts from the send; claims are bounded apart

Change: a run counts in the window from the send of its start. Claims whose starts are not sent yet are bounded by themselves, and those that are stored while the window is full wait there, the most urgent first. TestEachStartLeavesTheWindowOnce compares both counts now with the runs in either phase, and that both are zero in the end.

--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
@@ -15,7 +17,7 @@
 		task: t, size: t.group.step.Size, phase: runClaimed, pace: fullPace, started: p.now,
 	}
 	p.reserve(w, r)
-	p.startBegins(r)
+	p.claimBegins(r)
 	t.runs = append(t.runs, r)
 	t.group.job.runs++
 	p.leaveReady(t, taskPlaced)
@@ -44,6 +46,7 @@
 // forgetRun removes a run that certainly goes on nowhere.
 func (p *Planner) forgetRun(r *run) {
 	p.free(r.worker, r)
+	p.claimEnds(r)
 	p.startEnds(r)
 	t := r.task
 	for i, other := range t.runs {
@@ -60,6 +63,7 @@
 	w := r.worker
 	r.phase = runStarting
 	r.epoch = p.epochOf(w)
+	p.startBegins(r)
 	r.tries++
 	r.sentAt = p.now
 	ticket, _, _ := p.permitted(r.task.group, w)
@@ -71,12 +75,13 @@
 
 // startClaimed sends the start of a run whose claim is stored, if that is still
 // wanted. While the directory is too old the claim is held, since its data centre may
-// have been evacuated meanwhile.
+// have been evacuated meanwhile, and while as many starts are under way as are answered
+// in time. Members of a gang only run together.
 func (p *Planner) startClaimed(r *run) {
 	if r.phase != runClaimed || r.worker.runs[r.id] != r {
 		return
 	}
-	if !r.unwanted && !p.fresh() {
+	if !r.unwanted && (!p.fresh() || p.starts.Full() && !r.task.group.step.Gang) {
 		p.heldClaims = append(p.heldClaims, r)
 		return
 	}
@@ -95,14 +100,17 @@
 	p.sendStart(r)
 }
 
-// startHeld sends the starts of claims that were stored while the directory was too old,
-// once it is fresh. Their workers were told nothing, so that the claims stay good.
+// startHeld sends the starts of held claims, the most urgent first. Their workers were
+// told nothing, so that the claims stay good.
 func (p *Planner) startHeld() {
-	if len(p.heldClaims) == 0 || !p.fresh() {
+	if len(p.heldClaims) == 0 || !p.fresh() || p.starts.Full() {
 		return
 	}
 	held := p.heldClaims
 	p.heldClaims = nil
+	slices.SortStableFunc(held, func(a, b *run) int {
+		return cmp.Compare(a.task.group.job.queue.Priority, b.task.group.job.queue.Priority)
+	})
 	for _, r := range held {
 		p.startClaimed(r)
 	}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -19,7 +19,7 @@
 	}
 	full := p.beginPass()
 	for _, j := range p.waitingJobs() {
-		if p.starts.Full() {
+		if p.claimsFull() {
 			p.logWaits()
 			return
 		}
@@ -57,7 +57,7 @@
 		if t.phase != taskReady || p.now.Before(t.notBefore) {
 			continue
 		}
-		if p.starts.Full() {
+		if p.claimsFull() {
 			return
 		}
 		if d := p.demandOf(t, patience); d != last || !covered {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -103,7 +103,9 @@
 	retired   []Retired
 	retiredAt time.Time
 	claims    []*run
-	// heldClaims are stored and wait for a fresh directory.
+	// unsent counts the claims whose starts are not sent. heldClaims are those which are
+	// stored and wait for a fresh directory or for the window of starts.
+	unsent     int
 	heldClaims []*run
 	ends       map[*worker]identifier.EndNumber
 	marks      uint64
--- a/internal/planner/straggler.go
+++ b/internal/planner/straggler.go
@@ -78,7 +78,7 @@
 // copyElsewhere starts a second run of a task on another worker.
 func (p *Planner) copyElsewhere(r *run) {
 	t := r.task
-	if len(t.runs) > 1 || !p.fresh() || p.starts.Full() {
+	if len(t.runs) > 1 || !p.fresh() || p.claimsFull() {
 		return
 	}
 	t.failedOn = r.worker.id
--- a/internal/planner/waiter.go
+++ b/internal/planner/waiter.go
@@ -59,7 +59,7 @@
 	switch {
 	case !p.fresh():
 		return "the directory is too old"
-	case p.starts.Full():
+	case p.claimsFull():
 		return "as many starts are under way as are answered in time"
 	default:
 		return p.explainTask(t)
--- a/internal/planner/window.go
+++ b/internal/planner/window.go
@@ -6,12 +6,38 @@
 // after which it counts as missing.
 const lateStart = 200 * time.Millisecond
 
-// startBegins counts a run whose start is to be sent. Under a burst, tasks beyond the
-// window stay ready, the most urgent first in turn, instead of making the starts and
-// renewals that are under way late.
+// unsentClaims is how many claims may wait for the store or for the window of starts:
+// those of 0.25 s, the answer of a slow store, at 1,000 starts a second. A window that is
+// larger needs twice as many as it allows.
+const unsentClaims = 256
+
+// claimsFull reports whether no more tasks should be claimed. Under a burst, tasks beyond
+// that stay ready, the most urgent first in turn.
+func (p *Planner) claimsFull() bool {
+	return p.unsent >= max(unsentClaims, 2*p.starts.Limit())
+}
+
+// claimBegins counts a run whose start is not sent yet.
+func (p *Planner) claimBegins(r *run) {
+	r.unsent = true
+	p.unsent++
+}
+
+func (p *Planner) claimEnds(r *run) {
+	if r.unsent {
+		r.unsent = false
+		p.unsent--
+	}
+}
+
+// startBegins counts a run whose start is sent. Under a burst, claims beyond the window
+// wait instead of making the starts and renewals that are under way late.
 func (p *Planner) startBegins(r *run) {
-	r.underWay = true
-	p.starts.Enter()
+	p.claimEnds(r)
+	if !r.underWay {
+		r.underWay = true
+		p.starts.Enter()
+	}
 }
 
 // startEnds counts a run out whose start is not under way any more.
--- a/internal/planner/window_test.go
+++ b/internal/planner/window_test.go
@@ -16,12 +16,12 @@
 	return int(reflect.ValueOf(p.starts).Elem().FieldByName("used").Int())
 }
 
-// startsUnderWay returns how many runs are claimed or have a start on its way.
-func startsUnderWay(p *Planner) int {
+// runsIn returns how many runs are in a phase.
+func runsIn(p *Planner, phase runPhase) int {
 	n := 0
 	for _, w := range p.workers {
 		for _, r := range w.runs {
-			if r.phase == runClaimed || r.phase == runStarting {
+			if r.phase == phase {
 				n++
 			}
 		}
@@ -44,9 +44,12 @@
 			for i := range steps {
 				ids = append(ids, identifier.Job(fmt.Sprintf("%016x", i)))
 				l.disturb(rnd, ids)
-				if used, want := startsUsed(l.b.p), startsUnderWay(l.b.p); used != want {
+				if used, want := startsUsed(l.b.p), runsIn(l.b.p, runStarting); used != want {
 					t.Fatalf("step %d: the window counts %d starts, %d are under way", i, used, want)
 				}
+				if unsent, want := l.b.p.unsent, runsIn(l.b.p, runClaimed); unsent != want {
+					t.Fatalf("step %d: %d claims are counted, %d are not sent", i, unsent, want)
+				}
 			}
 			clear(l.lost)
 			l.appends = saveTime
@@ -55,8 +58,9 @@
 				l.send()
 			}
 			l.run(40 * time.Second)
-			if used := startsUsed(l.b.p); used != 0 || len(l.b.p.heldClaims) != 0 {
-				t.Fatalf("the window counts %d starts, %d claims are held after all jobs were cancelled", used, len(l.b.p.heldClaims))
+			if used := startsUsed(l.b.p); used != 0 || len(l.b.p.heldClaims) != 0 || l.b.p.unsent != 0 {
+				t.Fatalf("the window counts %d starts, %d claims are held, %d not sent after all jobs were cancelled",
+					used, len(l.b.p.heldClaims), l.b.p.unsent)
 			}
 		})
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -41,8 +41,9 @@
 	exposed bool
 	// sentAt is when the last start was sent.
 	sentAt time.Time
-	// underWay is set while the run counts in the window of starts.
-	underWay bool
+	// unsent is set while the run counts as a claim whose start is not sent, underWay
+	// while it counts in the window of starts.
+	unsent, underWay bool
 	// inherited is set if an earlier holder started the run, so that it is not known
 	// how long it has run.
 	inherited bool
