Stops under way are bounded like starts

Change: a second window for stops. Beyond it a stop is sent by the next look that shows the run, a second later at most.

--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -148,16 +148,43 @@
 	}
 }
 
-// stop sends a stop; the run's room stays taken until its end is listed.
+// stop sends a stop; the run's room stays taken until its end is listed. Beyond the
+// window of stops, the next look that shows the run sends it.
 func (p *Planner) stop(r *run) {
 	if r.phase == runActive {
 		r.phase = runStopping
 	}
+	at := workerRun{r.worker.id, r.id}
+	if _, sent := p.stopsSent[at]; !sent {
+		if p.stops.Full() {
+			r.stopSent = false
+			return
+		}
+		p.stops.Enter()
+	}
+	p.stopsSent[at] = p.now
 	r.stopSent = true
 	p.emit(StopRun{To: r.worker.target(), Run: r.id, Epoch: p.epochOf(r.worker)})
 }
 
+// stopEnds counts a stop out and learns from how long its answer took.
+func (p *Planner) stopEnds(e StopAnswered) {
+	at := workerRun{e.Worker, e.Run}
+	sent, ok := p.stopsSent[at]
+	if !ok {
+		return
+	}
+	delete(p.stopsSent, at)
+	if e.Err == nil && p.now.Sub(sent) < lateOrder {
+		p.stops.InTime(sent)
+	} else {
+		p.stops.Late(p.now, sent)
+	}
+	p.stops.Leave()
+}
+
 func (p *Planner) stopAnswered(e StopAnswered) {
+	p.stopEnds(e)
 	r := p.runAt(e.Worker, e.Run)
 	if r == nil {
 		return
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -96,6 +96,10 @@
 	// starts bounds those that are under way.
 	starts *limiter.Window
 
+	// stops bounds those that are under way; stopsSent tells when each was sent.
+	stops     *limiter.Window
+	stopsSent map[workerRun]time.Time
+
 	// waits bounds the log lines about steps that wait.
 	waits waitBudget
 
@@ -144,6 +148,8 @@
 		servingImages:     map[identifier.Image]int{},
 		neighbours:        map[imagePair]int{},
 		starts:            limiter.NewWindow(),
+		stops:             limiter.NewWindow(),
+		stopsSent:         map[workerRun]time.Time{},
 	}
 	for _, o := range opts {
 		o(p)
--- a/internal/planner/window.go
+++ b/internal/planner/window.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// lateStart is from when on the answer to a start counts as late: half of the time
-// after which it counts as missing.
-const lateStart = 200 * time.Millisecond
+// lateOrder is from when on the answer to a start or stop counts as late: half of the
+// time after which it counts as missing.
+const lateOrder = 200 * time.Millisecond
 
 // unsentClaims is how many claims may wait for the store or for the window of starts:
 // those of 0.25 s, the answer of a slow store, at 1,000 starts a second. A window that is
@@ -50,7 +50,7 @@
 
 // observeStart learns from how long the answer to a start took.
 func (p *Planner) observeStart(r *run, answered bool) {
-	if took := p.now.Sub(r.sentAt); answered && took < lateStart {
+	if took := p.now.Sub(r.sentAt); answered && took < lateOrder {
 		p.starts.InTime(r.sentAt)
 		return
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -57,6 +57,12 @@
 	used     identifier.Millicores
 }
 
+// workerRun is a run at a worker.
+type workerRun struct {
+	worker identifier.Worker
+	run    connector.RunID
+}
+
 // worker is a worker with what the planner believes of it.
 type worker struct {
 	id    identifier.Worker
