--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -62,7 +62,7 @@
 	p.log.StartUnanswered(r.id, r.worker.id, r.tries, err)
 	r.exposed = r.exposed || !errors.Is(err, connector.ErrNotSent) || errors.Is(err, connector.ErrUnknown)
 	// The members of a gang share an attempt, so that one start is better sent again.
-	if !r.exposed && !(r.task.group.step.Gang && r.tries < maxStartTries) {
+	if !r.exposed && (!r.task.group.step.Gang || r.tries >= maxStartTries) {
 		p.takeBack(r)
 		return
 	}
