Orders outlive the question that made the term read its inbox

Cause: a question about a job that the planner does not know reads the inbox and ran a whole pass of the planner under the caller's context, so that looks and starts of that pass were cancelled with the caller's answer, or when its host dropped the connection. A cancelled look counts as a miss, and two misses stop the renewals.

TestOrdersOutliveAQuestion failed: 'stops ended with [context canceled]'.

Change: the pass is left to the term itself; what was read is known to the question at once.

--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -303,8 +303,8 @@
 		return err
 	}
 	t.receive(records, next)
-	_, err = t.update(ctx, nil)
-	return err
+	t.Notify(planner.Ticked{})
+	return nil
 }
 
 // receive applies records of the inbox; one that is applied twice changes
