Claims and ends go on although more jobs change than one batch takes

TestClaimsDoNotWaitForOtherJobs failed before ('no start in 50 batches; the claim was stored with batch 1').

Change: changed jobs are stored in rounds; what changes meanwhile waits for the next.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -107,6 +107,8 @@
 	retired   []Retired
 	retiredAt time.Time
 	claims    []*run
+	// round is being stored, in one batch or several.
+	round saveRound
 	// unsent counts the claims whose starts are not sent. heldClaims are those which are
 	// stored and wait for a fresh directory or for the window of starts.
 	unsent     int
--- a/internal/planner/retirer.go
+++ b/internal/planner/retirer.go
@@ -33,6 +33,7 @@
 		delete(p.jobs, id)
 		delete(p.cancelled, id)
 		delete(p.dirty, j)
+		delete(p.round.jobs, j)
 		p.retired = append(p.retired, Retired{id, j.key})
 	}
 }
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -81,11 +81,20 @@
 // one append.
 const maxBatchJobs = 200
 
+// saveRound is a set of changed jobs that are stored in as many batches as they need,
+// and what goes on with the last of them. What changes meanwhile waits for the next
+// round, so that each round ends.
+type saveRound struct {
+	jobs   map[*job]struct{}
+	claims []*run
+	ends   map[*worker]identifier.EndNumber
+}
+
 func (p *Planner) touch(j *job) { p.dirty[j] = struct{}{} }
 
 // Dirty reports whether there is something to store.
 func (p *Planner) Dirty() bool {
-	return len(p.dirty) > 0 || len(p.retired) > 0 || len(p.ends) > 0
+	return len(p.dirty) > 0 || len(p.round.jobs) > 0 || len(p.retired) > 0 || len(p.ends) > 0
 }
 
 // TakeBatch returns what has to be stored. The caller stores it and reports
@@ -98,20 +107,24 @@
 		p.harmsSaved = p.now
 		b.Harms = p.harm.Records()
 	}
-	for j := range p.dirty {
+	if len(p.round.jobs) == 0 {
+		p.round = saveRound{p.dirty, p.claims, p.ends}
+		p.dirty, p.claims, p.ends = map[*job]struct{}{}, nil, map[*worker]identifier.EndNumber{}
+	}
+	for j := range p.round.jobs {
 		if len(b.Records) == maxBatchJobs {
 			break
 		}
-		delete(p.dirty, j)
+		delete(p.round.jobs, j)
 		j.mark = p.marks
 		b.Records = append(b.Records, recordOf(j))
 	}
-	if len(p.dirty) > 0 {
+	if len(p.round.jobs) > 0 {
 		// Claims and ends wait for the batch that completes them.
 		return b
 	}
-	b.claims, p.claims = p.claims, nil
-	b.ends, p.ends = p.ends, map[*worker]identifier.EndNumber{}
+	b.claims, b.ends = p.round.claims, p.round.ends
+	p.round = saveRound{}
 	return b
 }
 
@@ -128,7 +141,7 @@
 			// The worker has restarted since; its numbers began anew.
 			w.forget = 0
 		}
-		if _, more := p.ends[w]; !more {
+		if !p.endsUnsaved(w) {
 			w.unsaved = false
 		}
 	}
@@ -137,6 +150,13 @@
 	}
 }
 
+// endsUnsaved reports whether a worker listed ends that are not stored yet.
+func (p *Planner) endsUnsaved(w *worker) bool {
+	_, next := p.ends[w]
+	_, now := p.round.ends[w]
+	return next || now
+}
+
 func recordOf(j *job) JobRecord {
 	queue := j.queue
 	r := JobRecord{ID: j.def.ID, State: j.state, Accepted: identifier.UnixMillis(j.submitted.UnixMilli()), Queue: &queue}
