--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -61,7 +61,8 @@
 func (p *Planner) startUnanswered(r *run, err error) {
 	p.log.StartUnanswered(r.id, r.worker.id, r.tries, err)
 	r.exposed = r.exposed || !errors.Is(err, connector.ErrNotSent) || errors.Is(err, connector.ErrUnknown)
-	if !r.exposed {
+	// The members of a gang share an attempt, so that one start is better sent again.
+	if !r.exposed && (!r.task.group.step.Gang || r.tries >= maxStartTries) {
 		p.takeBack(r)
 		return
 	}
@@ -78,7 +79,9 @@
 	t := r.task
 	t.failedOn, t.notBefore = r.worker.id, p.now.Add(notSentPause)
 	p.forgetRun(r)
-	p.requeue(t)
+	if len(t.runs) == 0 {
+		p.requeue(t)
+	}
 }
 
 // doubt makes the next look at the worker decide about a run.
@@ -145,16 +148,43 @@
 	}
 }
 
-// stop sends a stop; the run's room stays taken until its end is listed.
+// stop sends a stop; the run's room stays taken until its end is listed. Beyond the
+// window of stops, the next look that shows the run sends it.
 func (p *Planner) stop(r *run) {
 	if r.phase == runActive {
 		r.phase = runStopping
 	}
+	at := workerRun{r.worker.id, r.id}
+	if _, sent := p.stopsSent[at]; !sent {
+		if p.stops.Full() {
+			r.stopSent = false
+			return
+		}
+		p.stops.Enter()
+	}
+	p.stopsSent[at] = p.now
 	r.stopSent = true
 	p.emit(StopRun{To: r.worker.target(), Run: r.id, Epoch: p.epochOf(r.worker)})
 }
 
+// stopEnds counts a stop out and learns from how long its answer took.
+func (p *Planner) stopEnds(e StopAnswered) {
+	at := workerRun{e.Worker, e.Run}
+	sent, ok := p.stopsSent[at]
+	if !ok {
+		return
+	}
+	delete(p.stopsSent, at)
+	if e.Err == nil && p.now.Sub(sent) < lateOrder {
+		p.stops.InTime(sent)
+	} else {
+		p.stops.Late(p.now, sent)
+	}
+	p.stops.Leave()
+}
+
 func (p *Planner) stopAnswered(e StopAnswered) {
+	p.stopEnds(e)
 	r := p.runAt(e.Worker, e.Run)
 	if r == nil {
 		return
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -96,6 +96,10 @@
 	// starts bounds those that are under way.
 	starts *limiter.Window
 
+	// stops bounds those that are under way; stopsSent tells when each was sent.
+	stops     *limiter.Window
+	stopsSent map[workerRun]time.Time
+
 	// waits bounds the log lines about steps that wait.
 	waits waitBudget
 
@@ -103,7 +107,11 @@
 	retired   []Retired
 	retiredAt time.Time
 	claims    []*run
-	// heldClaims are stored and wait for a fresh directory.
+	// round is being stored, in one batch or several.
+	round saveRound
+	// unsent counts the claims whose starts are not sent. heldClaims are those which are
+	// stored and wait for a fresh directory or for the window of starts.
+	unsent     int
 	heldClaims []*run
 	ends       map[*worker]identifier.EndNumber
 	marks      uint64
@@ -142,6 +150,8 @@
 		servingImages:     map[identifier.Image]int{},
 		neighbours:        map[imagePair]int{},
 		starts:            limiter.NewWindow(),
+		stops:             limiter.NewWindow(),
+		stopsSent:         map[workerRun]time.Time{},
 	}
 	for _, o := range opts {
 		o(p)
--- a/internal/planner/window.go
+++ b/internal/planner/window.go
@@ -2,16 +2,42 @@
 
 import "time"
 
-// lateStart is from when on the answer to a start counts as late: half of the time
-// after which it counts as missing.
-const lateStart = 200 * time.Millisecond
+// lateOrder is from when on the answer to a start or stop counts as late: half of the
+// time after which it counts as missing.
+const lateOrder = 200 * time.Millisecond
 
-// startBegins counts a run whose start is to be sent. Under a burst, tasks beyond the
-// window stay ready, the most urgent first in turn, instead of making the starts and
-// renewals that are under way late.
+// unsentClaims is how many claims may wait for the store or for the window of starts:
+// those of 0.25 s, the answer of a slow store, at 1,000 starts a second. A window that is
+// larger needs twice as many as it allows.
+const unsentClaims = 256
+
+// claimsFull reports whether no more tasks should be claimed. Under a burst, tasks beyond
+// that stay ready, the most urgent first in turn.
+func (p *Planner) claimsFull() bool {
+	return p.unsent >= max(unsentClaims, 2*p.starts.Limit())
+}
+
+// claimBegins counts a run whose start is not sent yet.
+func (p *Planner) claimBegins(r *run) {
+	r.unsent = true
+	p.unsent++
+}
+
+func (p *Planner) claimEnds(r *run) {
+	if r.unsent {
+		r.unsent = false
+		p.unsent--
+	}
+}
+
+// startBegins counts a run whose start is sent. Under a burst, claims beyond the window
+// wait instead of making the starts and renewals that are under way late.
 func (p *Planner) startBegins(r *run) {
-	r.underWay = true
-	p.starts.Enter()
+	p.claimEnds(r)
+	if !r.underWay {
+		r.underWay = true
+		p.starts.Enter()
+	}
 }
 
 // startEnds counts a run out whose start is not under way any more.
@@ -24,7 +50,7 @@
 
 // observeStart learns from how long the answer to a start took.
 func (p *Planner) observeStart(r *run, answered bool) {
-	if took := p.now.Sub(r.sentAt); answered && took < lateStart {
+	if took := p.now.Sub(r.sentAt); answered && took < lateOrder {
 		p.starts.InTime(r.sentAt)
 		return
 	}
