The holder logs what its work costs; warnings pass a flood of lines

Now a line 'load' a second, and a tenth of the limit of lines is for warnings and errors. TestWarningsPassAFloodOfLines failed before (0 of 5 warnings written). No decision changes.

--- a/internal/dispatcher/saver.go
+++ b/internal/dispatcher/saver.go
@@ -13,6 +13,7 @@
 	"github.com/balsamcove/balsamcove/internal/intake"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/planner"
+	"github.com/balsamcove/balsamcove/internal/profiler"
 	"github.com/balsamcove/balsamcove/internal/sleeper"
 )
 
@@ -54,6 +55,8 @@
 }
 
 func (t *Term) encode(b planner.Batch) ([]connector.KeyedRecord, error) {
+	began := time.Now()
+	defer func() { t.load.profile.Add(profiler.PartRecords, time.Since(began)) }()
 	records := make([]connector.KeyedRecord, 0, len(b.Records)+len(b.Retired))
 	for _, r := range b.Records {
 		value, err := r.Encode()
@@ -122,7 +125,11 @@
 	_, err := t.store.Append(ctx, connector.KeyedAppend{
 		Topic: topicWork, Partition: connector.Partition(t.cell), Writer: &writer, Records: records,
 	})
-	if took := time.Since(began); took > slowAppend {
+	took := time.Since(began)
+	if err == nil {
+		t.load.stored(len(records), sizeOf(records), took)
+	}
+	if took > slowAppend {
 		t.logger.Warn("append took long", zap.Duration("took", took), zap.Int("records", len(records)), logger.Err(err))
 	}
 	return err
@@ -134,3 +141,11 @@
 func sortByOffset(records []connector.KeyedRecord) {
 	sort.Slice(records, func(i, k int) bool { return records[i].Offset < records[k].Offset })
 }
+
+// sizeOf returns the bytes of records.
+func sizeOf(records []connector.KeyedRecord) (n int) {
+	for _, r := range records {
+		n += len(r.Key) + len(r.Value)
+	}
+	return n
+}
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -14,6 +14,7 @@
 	"github.com/balsamcove/balsamcove/internal/intake"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/planner"
+	"github.com/balsamcove/balsamcove/internal/profiler"
 	"github.com/balsamcove/balsamcove/internal/sleeper"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
@@ -47,7 +48,7 @@
 		return err
 	}
 	now := time.Now()
-	var opts []planner.Option
+	opts := []planner.Option{planner.WithProfile(profiler.NewClock(&t.load.profile))}
 	if t.log != nil {
 		opts = append(opts, planner.WithLog(t.log))
 	}
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -18,6 +18,7 @@
 	"github.com/balsamcove/balsamcove/internal/intake"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/planner"
+	"github.com/balsamcove/balsamcove/internal/profiler"
 	"github.com/balsamcove/balsamcove/internal/sleeper"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 	"github.com/balsamcove/balsamcove/pkg/submitter"
@@ -76,6 +77,7 @@
 	waited   func(time.Duration)
 
 	events *eventQueue
+	load   load
 	save   chan struct{}
 	pool   *ants.Pool
 	// withheld is set while leases are not renewed, since the store was not reached.
@@ -164,6 +166,7 @@
 		batch, waited := t.events.take()
 		if len(batch) > 0 {
 			t.waited(waited)
+			t.load.passed(waited)
 		}
 		if waited > slowEvents {
 			t.logger.Warn("planner is behind", zap.Duration("waitedMs", waited), zap.Int("events", len(batch)))
@@ -201,6 +204,8 @@
 		default:
 		}
 	}
+	began := time.Now()
+	defer func() { t.load.profile.Add(profiler.PartOrders, time.Since(began)) }()
 	for _, c := range commands {
 		if err := t.carryOut(ctx, c); err != nil {
 			return wake, err
@@ -276,23 +281,6 @@
 	return t.planner.Stats()
 }
 
-// reportStats logs the cell's counts from time to time.
-func (t *Term) reportStats(ctx context.Context) error {
-	for ctx.Err() == nil {
-		sleeper.Pause(ctx, statsPeriod)
-		s := t.Stats()
-		t.logger.Info("cell", zap.Int("jobs", s.Jobs), zap.Int("activeJobs", s.ActiveJobs), zap.Int("readyTasks", s.ReadyTasks),
-			zap.Int("runs", s.Runs), zap.Int("workers", s.Workers), zap.Int("usableWorkers", s.UsableWorkers),
-			zap.Int64("capacity", int64(s.Capacity)), zap.Int64("reserved", int64(s.Reserved)),
-			zap.Int64("serving", int64(s.Serving)), zap.Int64("scavenging", int64(s.Scavenging)),
-			zap.Int64("largestRoom", int64(s.LargestRoom)), zap.Int("quietWorkers", s.QuietWorkers), zap.Int("harmfulPairs", s.HarmfulPairs))
-	}
-	return nil
-}
-
-// statsPeriod is the time between two lines with the cell's counts.
-const statsPeriod = time.Second
-
 // refresh reads the records that have come to the inbox since the last read.
 func (t *Term) refresh(ctx context.Context) error {
 	t.mu.Lock()
--- a/internal/limiter/window.go
+++ b/internal/limiter/window.go
@@ -40,6 +40,9 @@
 // Limit returns how many calls may be under way.
 func (w *Window) Limit() int { return int(w.limit) }
 
+// Used returns how many calls are under way.
+func (w *Window) Used() int { return w.used }
+
 // Full reports whether no more calls should begin.
 func (w *Window) Full() bool { return w.used >= int(w.limit) }
 
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -22,6 +22,11 @@
 	// cut off.
 	lineRate  = 200
 	lineBurst = 400
+	// urgentRate and urgentBurst are the parts of them that are kept for warnings and
+	// errors: under load, lines about single runs would take the place of those that tell
+	// why.
+	urgentRate  = 20
+	urgentBurst = 100
 	// chunkBytes is about how many bytes are written at once.
 	chunkBytes = 16 << 10
 )
@@ -31,6 +36,7 @@
 	out     io.Writer
 	lines   chan []byte
 	limit   *rate.Limiter
+	urgent  *rate.Limiter
 	dropped atomic.Int64
 	done    chan struct{}
 	once    sync.Once
@@ -41,12 +47,15 @@
 
 // WithoutLimit lets a sink write as many lines a second as find room in its queue,
 // for a program that is being debugged.
-func WithoutLimit() SinkOption { return func(s *Sink) { s.limit = rate.NewLimiter(rate.Inf, 0) } }
+func WithoutLimit() SinkOption {
+	return func(s *Sink) { s.limit, s.urgent = rate.NewLimiter(rate.Inf, 0), rate.NewLimiter(rate.Inf, 0) }
+}
 
 // NewSink returns a sink that writes to out until Close.
 func NewSink(out io.Writer, opts ...SinkOption) *Sink {
 	s := &Sink{
-		out: out, lines: make(chan []byte, queueLines), limit: rate.NewLimiter(lineRate, lineBurst), done: make(chan struct{}),
+		out: out, lines: make(chan []byte, queueLines), done: make(chan struct{}),
+		limit: rate.NewLimiter(lineRate-urgentRate, lineBurst-urgentBurst), urgent: rate.NewLimiter(urgentRate, urgentBurst),
 	}
 	for _, o := range opts {
 		o(s)
@@ -58,7 +67,19 @@
 // Write queues one line; it never fails and never waits. A line beyond the limit is
 // dropped and counted.
 func (s *Sink) Write(line []byte) (int, error) {
-	if !s.limit.Allow() {
+	return s.put(line, s.limit.Allow())
+}
+
+// urgentLines is a sink's place for lines that have a limit of their own.
+type urgentLines struct{ *Sink }
+
+// Write queues one line; it never fails and never waits.
+func (u urgentLines) Write(line []byte) (int, error) {
+	return u.put(line, u.limit.Allow() || u.urgent.Allow())
+}
+
+func (s *Sink) put(line []byte, allowed bool) (int, error) {
+	if !allowed {
 		s.dropped.Add(1)
 		return len(line), nil
 	}
@@ -109,7 +130,8 @@
 	return chunk
 }
 
-// New returns a logger of JSON lines at a level such as "info".
+// New returns a logger of JSON lines at a level such as "info". Warnings and errors have
+// a part of the sink's limit to themselves.
 func New(s *Sink, level string) (*zap.Logger, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
@@ -118,7 +140,12 @@
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	enc.EncodeDuration = zapcore.MillisDurationEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(enc), s, l)), nil
+	usual := zap.LevelEnablerFunc(func(at zapcore.Level) bool { return at >= l && at < zapcore.WarnLevel })
+	urgent := zap.LevelEnablerFunc(func(at zapcore.Level) bool { return at >= l && at >= zapcore.WarnLevel })
+	return zap.New(zapcore.NewTee(
+		zapcore.NewCore(zapcore.NewJSONEncoder(enc), s, usual),
+		zapcore.NewCore(zapcore.NewJSONEncoder(enc), urgentLines{s}, urgent),
+	)), nil
 }
 
 // Err returns the field of an error, without its stack; nothing for nil.
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -80,6 +80,34 @@
 	})
 }
 
+// TestWarningsPassAFloodOfLines checks that lines about single runs do not take the place
+// of warnings, and that both together keep to the bound.
+func TestWarningsPassAFloodOfLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const flood, seconds = 1000, 5
+		var out bytes.Buffer
+		s := NewSink(&out)
+		l, err := New(s, "info")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range seconds {
+			for range flood {
+				l.Info("run ended")
+			}
+			l.Warn("starts are limited")
+			time.Sleep(time.Second)
+		}
+		s.Close()
+		if n := bytes.Count(out.Bytes(), []byte("starts are limited")); n != seconds {
+			t.Errorf("%d warnings written of %d", n, seconds)
+		}
+		if n, most := bytes.Count(out.Bytes(), []byte("\n")), lineBurst+seconds*lineRate; n > most {
+			t.Errorf("%d lines written, want at most %d", n, most)
+		}
+	})
+}
+
 func TestLinesAreJSON(t *testing.T) {
 	var out bytes.Buffer
 	s := NewSink(&out)
--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -66,6 +66,7 @@
 	p.startBegins(r)
 	r.tries++
 	r.sentAt = p.now
+	p.counts.starts++
 	ticket, _, _ := p.permitted(r.task.group, w)
 	p.emit(StartRun{To: w.target(), Order: connector.RunOrder{
 		Run: r.id, Spec: r.task.group.job.def.Spec, Epoch: r.epoch,
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -146,6 +146,8 @@
 	if w.misses > 0 {
 		p.log.WorkerChanged(w.id, "answers again")
 	}
+	p.counts.looks++
+	p.counts.listedRuns += len(e.Answer.Active)
 	w.heard(p.now, e.Answer.Clock)
 	if e.Order.LeaseUntil != nil {
 		w.renewedBy(e.Answer.OrderAnswer, p.now)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -13,6 +13,7 @@
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/estimator"
 	"github.com/balsamcove/balsamcove/internal/limiter"
+	"github.com/balsamcove/balsamcove/internal/profiler"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
 
@@ -58,6 +59,7 @@
 	epoch     identifier.Epoch
 	now       time.Time
 	clock     func() time.Time
+	profile   *profiler.Clock
 	directory connector.Directory
 	// began is when the holder's term began.
 	began time.Time
@@ -100,6 +102,8 @@
 	stops     *limiter.Window
 	stopsSent map[workerRun]time.Time
 
+	counts counts
+
 	// waits bounds the log lines about steps that wait.
 	waits waitBudget
 
@@ -128,13 +132,16 @@
 // runtime's.
 func WithTimeOfDay(now func() time.Time) Option { return func(p *Planner) { p.clock = now } }
 
+// WithProfile sets what measures the time of each part of the planner's work.
+func WithProfile(c *profiler.Clock) Option { return func(p *Planner) { p.profile = c } }
+
 // New returns the planner of a holder whose term has the epoch and begins now.
 func New(epoch identifier.Epoch, now time.Time, s Settings, opts ...Option) *Planner {
 	if s.Lease <= 0 {
 		s.Lease = defaultLease
 	}
 	p := &Planner{
-		settings: s, epoch: epoch, now: now, clock: time.Now, log: noLog{},
+		settings: s, epoch: epoch, now: now, clock: time.Now, log: noLog{}, profile: &profiler.Clock{},
 		began:             now,
 		inheritedLeaseEnd: now.Add(s.Inherited),
 		jobs:              map[identifier.Job]*job{},
@@ -164,19 +171,39 @@
 func (p *Planner) Inform(now time.Time, events ...Event) {
 	p.now = now
 	for _, e := range events {
+		p.profile.Enter(partOf(e))
 		p.apply(e)
 	}
+	p.profile.Enter(profiler.PartOutside)
+}
+
+// partOf returns the part of the planner's work that an event makes.
+func partOf(e Event) profiler.Part {
+	switch e.(type) {
+	case HoldAnswered:
+		return profiler.PartLooks
+	case StartAnswered:
+		return profiler.PartStarts
+	case BatchSaved:
+		return profiler.PartSaved
+	default:
+		return profiler.PartEvents
+	}
 }
 
 // Update takes events into account and returns what has to be done now.
 func (p *Planner) Update(now time.Time, events ...Event) []Command {
 	p.Inform(now, events...)
+	p.profile.Enter(profiler.PartUpkeep)
 	p.startHeld()
 	p.activateDue()
 	p.expireSilentWorkers()
 	p.retire()
+	p.profile.Enter(profiler.PartPlace)
 	p.place()
+	p.profile.Enter(profiler.PartUpkeep)
 	p.hold()
+	p.profile.Enter(profiler.PartOutside)
 	commands := p.commands
 	p.commands = nil
 	return commands
--- a/internal/planner/query.go
+++ b/internal/planner/query.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"time"
+
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
 
@@ -51,11 +53,26 @@
 	QuietWorkers int
 	// HarmfulPairs are the pairs of images that are kept apart.
 	HarmfulPairs int
+	// Starts counts the starts that were sent, StartsLate those that were answered late or
+	// not at all, Looks the answers of workers and ListedRuns the runs that these listed.
+	Starts, StartsLate, Looks, ListedRuns int
+	// StartsUnderWay of at most StartsLimit wait for an answer; UnsentClaims are places
+	// whose starts are not sent yet, HeldClaims those of them that are stored.
+	StartsUnderWay, StartsLimit, UnsentClaims, HeldClaims int
+	// OldestReady is how long a task that waits for a place has been ready at most.
+	OldestReady time.Duration
 }
 
 // Stats returns the present counts.
 func (p *Planner) Stats() Stats {
-	s := Stats{Jobs: len(p.jobs), Workers: len(p.workers)}
+	s := Stats{
+		Jobs: len(p.jobs), Workers: len(p.workers),
+		Starts: p.counts.starts, StartsLate: p.counts.startsLate, Looks: p.counts.looks, ListedRuns: p.counts.listedRuns,
+		StartsUnderWay: p.starts.Used(), StartsLimit: p.starts.Limit(), UnsentClaims: p.unsent, HeldClaims: len(p.heldClaims),
+	}
+	for j := range p.waiting {
+		s.OldestReady = max(s.OldestReady, p.now.Sub(j.readySince()))
+	}
 	for _, j := range p.jobs {
 		if !j.state.Ended() {
 			s.ActiveJobs++
@@ -79,3 +96,20 @@
 	}
 	return s
 }
+
+// counts are those of a planner's life.
+type counts struct{ starts, startsLate, looks, listedRuns int }
+
+// readySince returns since when the job's first ready task has been ready; only to be
+// asked of a job that has one.
+func (j *job) readySince() time.Time {
+	var since time.Time
+	for _, groups := range j.occurrences {
+		for _, g := range groups {
+			if t := g.firstReady(); t != nil && (since.IsZero() || t.readyAt.Before(since)) {
+				since = t.readyAt
+			}
+		}
+	}
+	return since
+}
--- a/internal/planner/window.go
+++ b/internal/planner/window.go
@@ -54,6 +54,7 @@
 		p.starts.InTime(r.sentAt)
 		return
 	}
+	p.counts.startsLate++
 	if p.starts.Late(p.now, r.sentAt) {
 		p.log.StartsLimited(p.starts.Limit(), p.now.Sub(r.sentAt))
 	}
