A window of starts that was cut leaves room for what was carried, and regains a cut soon

Callers saw jobs wait longer and longer after a burst, under a load that was served before it. Now a cut leaves room for the calls that were answered in 0.15 s at the best rate of the last second, and a window that was cut grows by a sixteenth of itself a round. TestLoadIsServedDespiteStalls and TestWindowRegainsACutInTimeForUrgentWork failed before.

--- a/internal/limiter/window.go
+++ b/internal/limiter/window.go
@@ -1,6 +1,9 @@
 package limiter
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// leastWindow is how many calls may be under way however late answers come, so that
@@ -11,8 +14,21 @@
 	firstWindow = 64
 	// mostWindow bounds the calls that are under way at a time.
 	mostWindow = 4096
+	// windowGrowth is by how much a window that was cut grows with each answer in time: a
+	// part of itself each round, so that a large one regains a cut as fast as a small one.
+	windowGrowth = 1. / 16
 	// windowCut is what a cut leaves of a window.
 	windowCut = 0.5
+	// LateAnswer is from when on an answer counts as late: half of the time after which
+	// orders to workers count as unanswered.
+	LateAnswer = 200 * time.Millisecond
+	// carriedFor is for how long a window allows the calls that are answered in each
+	// moment, whatever is late: answers then take three quarters of LateAnswer.
+	carriedFor = LateAnswer * 3 / 4
+	// ratePeriod is the time over which answers are counted, and ratePeriods how many
+	// counts tell the rate at which calls are carried.
+	ratePeriod  = 250 * time.Millisecond
+	ratePeriods = 4
 	// cutSample is the part of a window that has to be late before it is cut, so that a
 	// few bad answers do not.
 	cutSample = 0.125
@@ -23,15 +39,18 @@
 // carries: those that are sent anyway only make each other late, until none is answered
 // in time. A window grows while it is used and answers are in time, and is halved when
 // most answers are late or missing; answers to calls from before the last cut tell
-// nothing new. The zero value is not usable. Its methods are not safe for concurrent use.
+// nothing new. Since a caller that is held up for a moment makes all answers late however
+// few calls it makes, a cut leaves room for as many as were lately carried. The zero value
+// is not usable. Its methods are not safe for concurrent use.
 type Window struct {
 	limit float64
-	// threshold is up to where the window grows by each answer; above it grows by one
-	// a round.
+	// threshold is up to where the window grows by each answer; above it grows by a part
+	// of itself a round.
 	threshold    float64
 	used         int
 	inTime, late int
 	cutAt        time.Time
+	rate         rate
 }
 
 // NewWindow returns a window with no calls under way.
@@ -53,25 +72,31 @@
 // Leave counts a call out, whatever came of it.
 func (w *Window) Leave() { w.used-- }
 
-// InTime notes an answer that came in time to a call sent at a moment.
-func (w *Window) InTime(sent time.Time) {
+// Answered notes the answer to a call sent at a moment, and reports whether it was late
+// and whether the window was cut.
+func (w *Window) Answered(now, sent time.Time) (late, cut bool) {
+	w.rate.count(now)
+	if now.Sub(sent) >= LateAnswer {
+		return true, w.Missing(now, sent)
+	}
 	if sent.Before(w.cutAt) {
-		return
+		return false, false
 	}
 	w.inTime++
 	if w.used >= int(w.limit)/2 {
 		step := 1.0
 		if w.limit >= w.threshold {
-			step /= w.limit
+			step = windowGrowth
 		}
 		w.limit = min(w.limit+step, mostWindow)
 	}
 	w.endRound()
+	return false, false
 }
 
-// Late notes a late or missing answer to a call sent at a moment, and reports whether
+// Missing notes that a call sent at a moment had no answer in time, and reports whether
 // the window was cut.
-func (w *Window) Late(now, sent time.Time) (cut bool) {
+func (w *Window) Missing(now, sent time.Time) (cut bool) {
 	if sent.Before(w.cutAt) {
 		return false
 	}
@@ -80,7 +105,7 @@
 		w.endRound()
 		return false
 	}
-	w.limit = max(w.limit*windowCut, leastWindow)
+	w.limit = min(w.limit, max(w.limit*windowCut, w.rate.per(now, carriedFor), leastWindow))
 	w.threshold = w.limit
 	w.cutAt = now
 	w.inTime, w.late = 0, 0
@@ -93,3 +118,33 @@
 		w.inTime, w.late = 0, 0
 	}
 }
+
+// rate counts answers in the last few periods.
+type rate struct {
+	counts [ratePeriods]int
+	// latest is the number of the period that answers count for now.
+	latest int64
+}
+
+func (r *rate) count(now time.Time) {
+	r.advance(now)
+	r.counts[r.latest%ratePeriods]++
+}
+
+// advance forgets periods that are over for long.
+func (r *rate) advance(now time.Time) {
+	period := now.UnixNano() / int64(ratePeriod)
+	if period-r.latest >= ratePeriods {
+		r.counts = [ratePeriods]int{}
+		r.latest = period
+	}
+	for ; r.latest < period; r.latest++ {
+		r.counts[(r.latest+1)%ratePeriods] = 0
+	}
+}
+
+// per returns how many answers come in a time, by the best of the last periods.
+func (r *rate) per(now time.Time, d time.Duration) float64 {
+	r.advance(now)
+	return float64(slices.Max(r.counts[:])) * float64(d) / float64(ratePeriod)
+}
--- a/internal/limiter/window_test.go
+++ b/internal/limiter/window_test.go
@@ -31,14 +31,14 @@
 					w.Enter()
 				}
 				for range r.inTime {
-					w.InTime(now)
+					w.Answered(now, now)
 				}
 				for range r.inTime {
 					w.Leave()
 				}
 				sent := now
 				for range r.late {
-					w.Late(now.Add(time.Millisecond), sent)
+					w.Missing(now.Add(time.Millisecond), sent)
 				}
 			}
 			if got := w.Limit(); got < tt.least || got > tt.most {
@@ -54,7 +54,7 @@
 	sent := time.UnixMilli(1_000_000)
 	cuts := 0
 	for i := range 10 * firstWindow {
-		if w.Late(sent.Add(time.Second+time.Duration(i)), sent) {
+		if w.Missing(sent.Add(time.Second+time.Duration(i)), sent) {
 			cuts++
 		}
 	}
@@ -69,7 +69,7 @@
 	now := time.UnixMilli(1_000_000)
 	for range 1000 {
 		w.Enter()
-		w.InTime(now)
+		w.Answered(now, now)
 		w.Leave()
 	}
 	if got := w.Limit(); got != firstWindow {
@@ -93,7 +93,7 @@
 					w.Enter()
 				}
 				for range n {
-					w.InTime(now)
+					w.Answered(now, now)
 				}
 				for range n {
 					w.Leave()
@@ -104,7 +104,7 @@
 				answer()
 			}
 			before := w.Limit()
-			for sent := now; !w.Late(now, sent); {
+			for sent := now; !w.Missing(now, sent); {
 				now = now.Add(time.Millisecond)
 			}
 			for end := now.Add(urgentTarget); now.Before(end); {
@@ -136,17 +136,13 @@
 
 // run lets time pass while calls are offered at a rate.
 func (l *line) run(d time.Duration, offered float64) {
-	const step, late = time.Millisecond, 200 * time.Millisecond
+	const step = time.Millisecond
 	for end := l.now.Add(d); l.now.Before(end); {
 		l.now = l.now.Add(step)
 		for len(l.underWay) > 0 && !l.underWay[0].due.After(l.now) {
 			c := l.underWay[0]
 			l.underWay = l.underWay[1:]
-			if l.now.Sub(c.sent) < late {
-				l.window.InTime(c.sent)
-			} else {
-				l.window.Late(l.now, c.sent)
-			}
+			l.window.Answered(l.now, c.sent)
 			l.window.Leave()
 		}
 		for l.waiting += offered * step.Seconds(); l.waiting >= 1 && !l.window.Full(); l.waiting-- {
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -175,10 +175,10 @@
 		return
 	}
 	delete(p.stopsSent, at)
-	if e.Err == nil && p.now.Sub(sent) < lateOrder {
-		p.stops.InTime(sent)
+	if e.Err == nil {
+		p.stops.Answered(p.now, sent)
 	} else {
-		p.stops.Late(p.now, sent)
+		p.stops.Missing(p.now, sent)
 	}
 	p.stops.Leave()
 }
--- a/internal/planner/window.go
+++ b/internal/planner/window.go
@@ -1,11 +1,5 @@
 package planner
 
-import "time"
-
-// lateOrder is from when on the answer to a start or stop counts as late: half of the
-// time after which it counts as missing.
-const lateOrder = 200 * time.Millisecond
-
 // unsentClaims is how many claims may wait for the store or for the window of starts:
 // those of 0.25 s, the answer of a slow store, at 1,000 starts a second. A window that is
 // larger needs twice as many as it allows.
@@ -50,12 +44,16 @@
 
 // observeStart learns from how long the answer to a start took.
 func (p *Planner) observeStart(r *run, answered bool) {
-	if took := p.now.Sub(r.sentAt); answered && took < lateOrder {
-		p.starts.InTime(r.sentAt)
-		return
+	late, cut := true, false
+	if answered {
+		late, cut = p.starts.Answered(p.now, r.sentAt)
+	} else {
+		cut = p.starts.Missing(p.now, r.sentAt)
+	}
+	if late {
+		p.counts.startsLate++
 	}
-	p.counts.startsLate++
-	if p.starts.Late(p.now, r.sentAt) {
+	if cut {
 		p.log.StartsLimited(p.starts.Limit(), p.now.Sub(r.sentAt))
 	}
 }
