Orders and answers travel as batches of bytes beside the calls of JSON-RPC

Cause: a quarter of the holder's processor passed over JSON. A batch of orders or answers was CBOR in base64 in a JSON string, which the codec scans five times or more on each side. Ruled out: fewer messages (they would add up to 25 ms to each start). Now a connection between two hosts carries batches under a header of their own beside the messages of JSON-RPC, which stays for calls; the receiver decodes them where they are read.

Hosts of older releases drop batches, so that during a change of release a holder has fewer hosts to call its workers.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -68,7 +68,7 @@
 			return nil, refuser.New(refuser.CodeInvalid, "unknown method %q", method)
 		}
 		return out, err
-	}, zap.NewNop())
+	}, zap.NewNop(), messenger.WithBatches(s.pool.Receive))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -253,6 +253,11 @@
 	if err := peer.Call(t.Context(), messenger.MethodAnswers, batch{Content: []byte{0xff}}, nil); err == nil {
 		t.Error("answers that cannot be read are taken")
 	}
+	for _, method := range []messenger.Method{messenger.MethodAnswers, messenger.MethodOrders, "unknown"} {
+		if err := peer.Send(method, []byte{0xff}); err != nil {
+			t.Fatal(err)
+		}
+	}
 	if _, err := s.look(t, 1); err != nil {
 		t.Errorf("a call after malformed messages: %v", err)
 	}
--- a/internal/carrier/host.go
+++ b/internal/carrier/host.go
@@ -129,7 +129,7 @@
 func (h *Host) connect(ctx context.Context, address string, s *service) (messenger.Peer, error) {
 	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
 	defer cancel()
-	peer, err := messenger.Dial(ctx, address, s.handle)
+	peer, err := messenger.Dial(ctx, address, s.handle, messenger.WithBatches(s.receive))
 	if err != nil {
 		return messenger.Peer{}, err
 	}
@@ -178,32 +178,45 @@
 	return peer.Call(ctx, messenger.MethodAnswers, m, nil)
 }
 
-// handle answers the holder's messages.
-func (s *service) handle(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
+// handle answers the holder's calls, of which there are none.
+func (s *service) handle(_ context.Context, method messenger.Method, _ json.RawMessage) (any, error) {
+	return nil, refuser.New(refuser.CodeInvalid, "a host that calls workers does not answer %q", method)
+}
+
+// receive begins the calls of a batch of orders.
+func (s *service) receive(_ messenger.Peer, method messenger.Method, content []byte) {
 	if method != messenger.MethodOrders {
-		return nil, refuser.New(refuser.CodeInvalid, "a host that calls workers does not answer %q", method)
-	}
-	var in batch
-	if err := json.Unmarshal(params, &in); err != nil {
-		return nil, refuser.New(refuser.CodeInvalid, "%v", err)
+		s.host.logger.Error("batch of an unknown kind is dropped", zap.String("method", string(method)))
+		return
 	}
-	age := s.ages.age(s.host.uptime(), in.SentAt)
-	list, err := decode[orders](in.Content)
+	in, err := decode[message[orders]](content)
 	if err != nil {
 		s.host.logger.Error("orders cannot be read", logger.Err(err))
-		return nil, refuser.New(refuser.CodeInvalid, "%v", err)
+		return
 	}
+	read := s.host.uptime()
+	sent := read - s.ages.age(read, in.SentAt)
 	select {
 	case <-s.ready:
-	case <-ctx.Done():
-		return nil, ctx.Err()
+		s.startAll(in.Content, sent)
+	default:
+		// Orders may come before the answer to the offer, which the same connection brings.
+		go func() {
+			select {
+			case <-s.ready:
+				s.startAll(in.Content, sent)
+			case <-time.After(offerTimeout):
+			}
+		}()
 	}
-	s.replies.setGap(list.Gap)
-	read := s.host.uptime()
-	for _, o := range list.List {
-		s.start(o, list.Specs, read-age)
+}
+
+// startAll makes the calls of a batch that was sent at an uptime.
+func (s *service) startAll(o orders, sent time.Duration) {
+	s.replies.setGap(o.Gap)
+	for _, one := range o.List {
+		s.start(one, o.Specs, sent)
 	}
-	return nil, nil
 }
 
 // start makes one call in the pool; sent is the uptime at which the order was sent.
--- a/internal/carrier/pool.go
+++ b/internal/carrier/pool.go
@@ -197,11 +197,33 @@
 	s.close()
 }
 
+// Receive takes the answers that a host sends as a batch.
+func (p *Pool) Receive(from messenger.Peer, method messenger.Method, content []byte) {
+	s, ok := p.session(from)
+	if !ok || method != messenger.MethodAnswers {
+		p.logger.Warn("batch is dropped, no offer was made over its connection", zap.String("method", string(method)))
+		return
+	}
+	in, err := decode[message[[]reply]](content)
+	if err != nil {
+		p.logger.Error("answers cannot be read", zap.String("host", string(s.offer.Name)), logger.Err(err))
+		return
+	}
+	s.receive(in.Content)
+}
+
+// session returns the host at the other end of a connection.
+func (p *Pool) session(peer messenger.Peer) (s *session, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok = p.sessions[peer]
+	return s, ok
+}
+
+// answered takes a host's beat.
 func (p *Pool) answered(ctx context.Context, params json.RawMessage) error {
 	peer, _ := messenger.PeerFrom(ctx)
-	p.mu.Lock()
-	s, ok := p.sessions[peer]
-	p.mu.Unlock()
+	s, ok := p.session(peer)
 	if !ok {
 		return refuser.New(refuser.CodeConflict, "no offer was made over this connection")
 	}
--- a/internal/carrier/sender.go
+++ b/internal/carrier/sender.go
@@ -96,11 +96,11 @@
 		case <-ctx.Done():
 			return nil
 		}
-		m, err := encode(s.clock(), s.pack(s.take()))
+		content, err := encodeMessage(s.clock(), s.pack(s.take()))
 		if err != nil {
 			return err
 		}
-		if err := s.peer.Notify(ctx, s.method, m); err != nil {
+		if err := s.peer.Send(s.method, content); err != nil {
 			return err
 		}
 		sleeper.Pause(ctx, time.Duration(s.gap.Load()))
--- a/internal/carrier/wire.go
+++ b/internal/carrier/wire.go
@@ -21,13 +21,21 @@
 	Workers int `json:"workers"`
 }
 
-// batch is the parameter of a message: its content as CBOR, and when it was sent by
-// the sender's clock of uptime, from which the receiver tells how old it is.
+// batch is the parameter of a beat: its content as CBOR, and when it was sent by the
+// sender's clock of uptime.
 type batch struct {
 	SentAt  time.Duration `json:"sentAt"`
 	Content []byte        `json:"content"`
 }
 
+// message is what travels as a batch: its content, and when it was sent by the sender's
+// clock of uptime, from which the receiver tells how old it is.
+type message[T any] struct {
+	_       struct{} `cbor:",toarray"`
+	SentAt  time.Duration
+	Content T
+}
+
 // orderKind says which call of a worker an order is.
 type orderKind int
 
@@ -197,6 +205,12 @@
 	return batch{SentAt: sentAt, Content: data}, errors.Wrap(err, "encode batch")
 }
 
+// encodeMessage returns a batch sent at an uptime.
+func encodeMessage[T any](sentAt time.Duration, content T) ([]byte, error) {
+	data, err := cbor.Marshal(message[T]{SentAt: sentAt, Content: content})
+	return data, errors.Wrap(err, "encode batch")
+}
+
 // decode reads the content of a message; the error is marked ErrBatch.
 func decode[T any](data []byte) (T, error) {
 	var out T
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -75,19 +75,22 @@
 type Server struct {
 	listener net.Listener
 	handler  Handler
+	batches  BatchHandler
 	logger   *zap.Logger
 
 	mu    sync.Mutex
-	conns map[*jsonrpc2.Conn]struct{}
+	peers map[Peer]struct{}
 }
 
 // Listen returns a server on the address; Run serves it.
-func Listen(address string, handler Handler, logger *zap.Logger) (*Server, error) {
+func Listen(address string, handler Handler, logger *zap.Logger, opts ...Option) (*Server, error) {
 	ln, err := listener.Listen(address)
 	if err != nil {
 		return nil, err
 	}
-	return &Server{listener: ln, handler: handler, logger: logger, conns: map[*jsonrpc2.Conn]struct{}{}}, nil
+	return &Server{
+		listener: ln, handler: handler, batches: optionsOf(opts).batches, logger: logger, peers: map[Peer]struct{}{},
+	}, nil
 }
 
 // Run serves until ctx ends, then closes all connections.
@@ -108,15 +111,14 @@
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{}), handler, quiet())
+	peer := open(ctx, conn, s.handler, s.batches)
 	s.mu.Lock()
-	s.conns[rpc] = struct{}{}
+	s.peers[peer] = struct{}{}
 	s.mu.Unlock()
 	go func() {
-		<-rpc.DisconnectNotify()
+		<-peer.Done()
 		s.mu.Lock()
-		delete(s.conns, rpc)
+		delete(s.peers, peer)
 		s.mu.Unlock()
 	}()
 }
@@ -124,22 +126,18 @@
 func (s *Server) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c := range s.conns {
-		_ = c.Close()
+	for p := range s.peers {
+		p.Close()
 	}
 }
 
-func (s *Server) handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
-	return answer(ctx, s.handler, conn, req)
-}
-
 // answer lets a handler answer a call that came over a connection.
-func answer(ctx context.Context, handler Handler, conn *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+func answer(ctx context.Context, handler Handler, from Peer, req *jsonrpc2.Request) (any, error) {
 	var params json.RawMessage
 	if req.Params != nil {
 		params = *req.Params
 	}
-	out, err := handler(context.WithValue(ctx, peerKey{}, Peer{conn}), Method(req.Method), params)
+	out, err := handler(context.WithValue(ctx, peerKey{}, from), Method(req.Method), params)
 	if err == nil {
 		return out, nil
 	}
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -12,7 +12,10 @@
 
 // Peer is one connection to another host, over which either side may call. Two
 // peers are equal if they are the same connection.
-type Peer struct{ conn *jsonrpc2.Conn }
+type Peer struct {
+	conn   *jsonrpc2.Conn
+	stream *stream
+}
 
 type peerKey struct{}
 
@@ -24,17 +27,13 @@
 
 // Dial opens a connection of its own to the host at an address; handler answers the
 // calls of the other side. The error is marked connector.ErrNotSent.
-func Dial(ctx context.Context, address string, handler Handler) (Peer, error) {
+func Dial(ctx context.Context, address string, handler Handler, opts ...Option) (Peer, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return Peer{}, errors.Mark(errors.Wrapf(err, "dial peer %s", address), connector.ErrNotSent)
 	}
-	handle := jsonrpc2.HandlerWithError(func(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
-		return answer(ctx, handler, conn, req)
-	})
-	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VSCodeObjectCodec{})
-	return Peer{jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, jsonrpc2.AsyncHandler(handle), quiet())}, nil
+	return open(context.WithoutCancel(ctx), raw, handler, optionsOf(opts).batches), nil
 }
 
 // Call makes a call and fills result. The error is a *refuser.Refusal of the other
@@ -51,9 +50,9 @@
 	return errors.Mark(errors.Wrapf(err, "call %s", method), connector.ErrUnknown)
 }
 
-// Notify sends a message that has no answer.
-func (p Peer) Notify(ctx context.Context, method Method, params any) error {
-	return errors.Wrapf(p.conn.Notify(ctx, string(method), params), "notify %s", method)
+// Send sends a batch, which has no answer. The error is marked connector.ErrUnknown.
+func (p Peer) Send(method Method, content []byte) error {
+	return errors.Wrapf(p.stream.writeBatch(method, content), "send %s", method)
 }
 
 // Done is closed once the connection is.
--- /dev/null
+++ b/internal/messenger/stream.go
@@ -0,0 +1,156 @@
+package messenger
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+)
+
+const (
+	// maxFrame bounds a message in bytes, many times a full batch of answers.
+	maxFrame = 16 << 20
+	// streamBuffer is what is read or written at once, in bytes.
+	streamBuffer = 32 << 10
+
+	headerLength = "Content-Length"
+	headerBatch  = "Batch-Method"
+)
+
+// ErrFrame marks bytes that are no message; the connection on which they came is closed.
+var ErrFrame = errors.New("malformed message")
+
+// BatchHandler takes the content of a batch that came over a connection. Batches of a
+// connection come in order, one at a time; nothing else is read meanwhile.
+type BatchHandler func(from Peer, method Method, content []byte)
+
+// options are those of a connection.
+type options struct{ batches BatchHandler }
+
+// Option changes the connections of a server, or one that is dialled.
+type Option func(*options)
+
+// WithBatches sets what takes batches; without it they are dropped.
+func WithBatches(h BatchHandler) Option { return func(o *options) { o.batches = h } }
+
+func optionsOf(opts []Option) (out options) {
+	for _, o := range opts {
+		o(&out)
+	}
+	return out
+}
+
+// stream carries the messages of JSON-RPC with the header of the Language Server Protocol,
+// and batches of bytes beside them under a header of their own: a codec of JSON passes over
+// each byte several times, which is most of the cost of a large message. It implements
+// jsonrpc2.ObjectStream.
+type stream struct {
+	raw     net.Conn
+	batches BatchHandler
+	reader  *bufio.Reader
+	// opened is closed once conn is set.
+	opened chan struct{}
+	conn   *jsonrpc2.Conn
+
+	mu     sync.Mutex
+	writer *bufio.Writer
+}
+
+// open begins a connection whose calls and batches are handed to the handlers; a handler
+// of batches may be nil.
+func open(ctx context.Context, raw net.Conn, calls Handler, batches BatchHandler) Peer {
+	s := &stream{
+		raw: raw, batches: batches, opened: make(chan struct{}),
+		reader: bufio.NewReaderSize(raw, streamBuffer), writer: bufio.NewWriterSize(raw, streamBuffer),
+	}
+	handle := jsonrpc2.HandlerWithError(func(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+		return answer(ctx, calls, Peer{conn, s}, req)
+	})
+	s.conn = jsonrpc2.NewConn(ctx, s, jsonrpc2.AsyncHandler(handle), quiet())
+	close(s.opened)
+	return Peer{s.conn, s}
+}
+
+// WriteObject implements jsonrpc2.ObjectStream.
+func (s *stream) WriteObject(obj any) error {
+	data, err := json.Marshal(obj)
+	if err != nil {
+		return errors.Wrap(err, "encode message")
+	}
+	return s.write(fmt.Sprintf("%s: %d\r\n\r\n", headerLength, len(data)), data)
+}
+
+// writeBatch sends a batch.
+func (s *stream) writeBatch(method Method, content []byte) error {
+	return s.write(fmt.Sprintf("%s: %s\r\n%s: %d\r\n\r\n", headerBatch, method, headerLength, len(content)), content)
+}
+
+func (s *stream) write(header string, content []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// Errors of a buffered writer stay until it is flushed.
+	_, _ = s.writer.WriteString(header)
+	_, _ = s.writer.Write(content)
+	return errors.Mark(errors.Wrap(s.writer.Flush(), "write message"), connector.ErrUnknown)
+}
+
+// ReadObject implements jsonrpc2.ObjectStream. Batches that come before the next message
+// are handed to their handler.
+func (s *stream) ReadObject(v any) error {
+	for {
+		method, content, err := s.readFrame()
+		if err != nil {
+			return err
+		}
+		if method == "" {
+			return errors.Wrap(json.Unmarshal(content, v), "decode message")
+		}
+		if s.batches != nil {
+			<-s.opened
+			s.batches(Peer{s.conn, s}, method, content)
+		}
+	}
+}
+
+// readFrame returns the next message; method is empty if it is no batch.
+func (s *stream) readFrame() (method Method, content []byte, err error) {
+	length := -1
+	for {
+		line, err := s.reader.ReadString('\n')
+		if err != nil {
+			return "", nil, errors.Wrap(err, "read header")
+		}
+		line = strings.TrimSpace(line)
+		if line == "" {
+			break
+		}
+		name, value, _ := strings.Cut(line, ":")
+		switch value = strings.TrimSpace(value); name {
+		case headerLength:
+			if length, err = strconv.Atoi(value); err != nil {
+				return "", nil, errors.Mark(errors.Wrap(err, "length of a message"), ErrFrame)
+			}
+		case headerBatch:
+			method = Method(value)
+		}
+	}
+	if length < 0 || length > maxFrame {
+		return "", nil, errors.Mark(errors.Newf("message of %d bytes", length), ErrFrame)
+	}
+	content = make([]byte, length)
+	_, err = io.ReadFull(s.reader, content)
+	return method, content, errors.Wrap(err, "read message")
+}
+
+// Close implements jsonrpc2.ObjectStream.
+func (s *stream) Close() error { return errors.Wrap(s.raw.Close(), "close connection") }
--- /dev/null
+++ b/internal/messenger/stream_test.go
@@ -0,0 +1,139 @@
+package messenger
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// listen returns the address of a server that runs until the test ends.
+func listen(t *testing.T, handler Handler, opts ...Option) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := ln.Addr().String()
+	_ = ln.Close()
+	s, err := Listen(address, handler, zap.NewNop(), opts...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return address
+}
+
+func echo(_ context.Context, _ Method, params json.RawMessage) (any, error) { return params, nil }
+
+// TestBatchesAndCallsShareAConnection checks that batches of any bytes arrive whole and in
+// order, in both directions, between calls that are answered meanwhile.
+func TestBatchesAndCallsShareAConnection(t *testing.T) {
+	const batches, calls = 300, 50
+	content := func(i int) []byte { return bytes.Repeat([]byte{byte(i), '\r', '\n', 0}, i*i) }
+	address := listen(t, echo, WithBatches(func(from Peer, method Method, content []byte) {
+		if err := from.Send(method, content); err != nil {
+			t.Error(err)
+		}
+	}))
+	returned := make(chan []byte, batches)
+	peer, err := Dial(t.Context(), address, echo, WithBatches(func(_ Peer, method Method, content []byte) {
+		if method != MethodAnswers {
+			t.Errorf("batch of %q, want %q", method, MethodAnswers)
+		}
+		returned <- content
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	var wg sync.WaitGroup
+	for i := range calls {
+		wg.Go(func() {
+			var got string
+			if err := peer.Call(t.Context(), MethodBeat, fmt.Sprint(i), &got); err != nil || got != fmt.Sprint(i) {
+				t.Errorf("call %d: %q, %v", i, got, err)
+			}
+		})
+	}
+	for i := range batches {
+		if err := peer.Send(MethodAnswers, content(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range batches {
+		if got := <-returned; !bytes.Equal(got, content(i)) {
+			t.Fatalf("batch %d has %d bytes, want %d", i, len(got), len(content(i)))
+		}
+	}
+	wg.Wait()
+}
+
+// TestMalformedFramesEndTheirConnection checks that bytes which are no message close the
+// connection on which they came, and no other.
+func TestMalformedFramesEndTheirConnection(t *testing.T) {
+	address := listen(t, echo, WithBatches(func(Peer, Method, []byte) {}))
+	tests := map[string]string{
+		"no length":       "Batch-Method: answers\r\n\r\n",
+		"length no count": "Content-Length: many\r\n\r\n",
+		"negative length": "Content-Length: -1\r\n\r\n",
+		"huge length":     fmt.Sprintf("Content-Length: %d\r\n\r\n", maxFrame+1),
+		"no JSON":         "Content-Length: 3\r\n\r\n{,}",
+	}
+	for name, sent := range tests {
+		t.Run(name, func(t *testing.T) {
+			raw, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = raw.Close() }()
+			if _, err := raw.Write([]byte(sent)); err != nil {
+				t.Fatal(err)
+			}
+			if err := raw.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			var timeout net.Error
+			if _, err := raw.Read(make([]byte, 1)); err == nil || errors.As(err, &timeout) && timeout.Timeout() {
+				t.Errorf("connection goes on: %v", err)
+			}
+			peer, err := Dial(t.Context(), address, echo)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer peer.Close()
+			if err := peer.Call(t.Context(), MethodBeat, "x", nil); err != nil {
+				t.Errorf("another connection: %v", err)
+			}
+		})
+	}
+}
+
+// TestBatchesWithoutAHandlerAreDropped checks that calls go on over a connection whose
+// other side does not take batches.
+func TestBatchesWithoutAHandlerAreDropped(t *testing.T) {
+	peer, err := Dial(t.Context(), listen(t, echo), echo)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	if err := peer.Send(MethodAnswers, []byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if err := peer.Call(t.Context(), MethodBeat, "x", nil); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -160,7 +160,7 @@
 // Run serves other hosts and callers until ctx ends, and schedules until
 // scheduling ends, which may be earlier.
 func (s *Supervisor) Run(ctx, scheduling context.Context) error {
-	server, err := messenger.Listen(s.settings.Peers, s.handle, s.logger)
+	server, err := messenger.Listen(s.settings.Peers, s.handle, s.logger, messenger.WithBatches(s.pool.Receive))
 	if err != nil {
 		return err
 	}
