Starts and looks through hosts need no goroutine, context and timer each

Cause: with 1,800 workers some 8,500 orders a second were each carried by a goroutine that waited on a channel, with a context and a timer; a sixth of the holder's processor. Ruled out: a larger pool (the switches cost, not the creation). Now a call is begun and its end told as an event; calls without an answer are looked for every 20 ms, and an order whose term has ended or whose time is over does not travel, as before. Stops, paces, and calls that a holder makes itself go on as they were.

--- a/internal/carrier/pool.go
+++ b/internal/carrier/pool.go
@@ -12,11 +12,14 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/logger"
@@ -33,6 +36,9 @@
 	silence = 1300 * time.Millisecond
 	// sweepPeriod is how often silent hosts are looked for.
 	sweepPeriod = 200 * time.Millisecond
+	// expirePeriod is how often calls without an answer are looked for: by so much they may
+	// end late.
+	expirePeriod = 20 * time.Millisecond
 	// gatherTime is how long a new holder waits for hosts before it calls workers by
 	// itself although they are more than it can carry.
 	gatherTime = time.Second
@@ -110,8 +116,30 @@
 	return p.assigner.loads()
 }
 
-// Run lets silent hosts go until ctx ends.
+// Run lets silent hosts go and ends calls that are late, until ctx ends.
 func (p *Pool) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return p.letSilentGo(ctx) })
+	g.Go(func() error { return p.expireLate(ctx) })
+	return g.Wait()
+}
+
+// expireLate ends calls without an answer when their callers leave.
+func (p *Pool) expireLate(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleeper.Pause(ctx, expirePeriod)
+		p.mu.Lock()
+		sessions := slices.Collect(maps.Values(p.sessions))
+		p.mu.Unlock()
+		now := time.Now()
+		for _, s := range sessions {
+			s.expire(now)
+		}
+	}
+	return nil
+}
+
+func (p *Pool) letSilentGo(ctx context.Context) error {
 	for ctx.Err() == nil {
 		began := time.Now()
 		sleeper.Pause(ctx, sweepPeriod)
@@ -283,23 +311,60 @@
 	}
 	o.Worker, o.Address = to.ID, to.Address
 	r, err = s.do(ctx, o, spec)
+	r, err = p.judge(s, to.ID, r, err)
+	return r, true, err
+}
+
+// judge completes what came of a call through a host, and notes if that host did not reach
+// the worker.
+func (p *Pool) judge(s *session, worker identifier.Worker, r reply, err error) (reply, error) {
 	r.through = s.offer.Name
 	if err == nil {
 		err = r.err()
 	}
 	if err != nil {
 		p.mu.Lock()
-		p.assigner.unreachable(to.ID, s.peer, time.Now())
+		p.assigner.unreachable(worker, s.peer, time.Now())
 		p.mu.Unlock()
 	}
-	return r, true, err
+	return r, err
+}
+
+// begin makes a call through a host without waiting; done is told what came of it unless
+// ok is false.
+func (p *Pool) begin(ctx context.Context, to connector.WorkerTarget, o order, spec string, done func(reply, error)) (ok bool) {
+	s := p.sessionOf(to.ID)
+	if s == nil {
+		return false
+	}
+	leave := time.Now().Add(o.Timeout)
+	o.Worker, o.Address = to.ID, to.Address
+	_, ok = s.begin(specifiedOrder{o, spec, leave, ctx}, call{
+		done:  func(r reply, err error) { done(p.judge(s, to.ID, r, err)) },
+		leave: leave,
+	})
+	return ok
+}
+
+func startOf(o connector.RunOrder) order {
+	return order{Kind: orderStart, Run: nameOf(o.Run), Epoch: o.Epoch, LeaseUntil: &o.LeaseUntil, Checkpoint: o.Checkpoint, Ticket: o.Ticket}
+}
+
+func stopOf(run connector.RunID, epoch identifier.Epoch) order {
+	return order{Kind: orderStop, Run: nameOf(run), Epoch: epoch}
+}
+
+func paceOf(run connector.RunID, percent int, epoch identifier.Epoch) order {
+	return order{Kind: orderPace, Run: nameOf(run), Percent: percent, Epoch: epoch}
+}
+
+func holdOf(o connector.HoldOrder) order {
+	return order{Kind: orderHold, Epoch: o.Epoch, LeaseUntil: o.LeaseUntil, Forget: o.Forget, Wait: o.Wait}
 }
 
 // Start implements connector.Runner.
 func (p *Pool) Start(ctx context.Context, to connector.WorkerTarget, o connector.RunOrder) (connector.OrderAnswer, error) {
-	r, ok, err := p.carry(ctx, to, order{
-		Kind: orderStart, Run: nameOf(o.Run), Epoch: o.Epoch, LeaseUntil: &o.LeaseUntil, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
-	}, o.Spec)
+	r, ok, err := p.carry(ctx, to, startOf(o), o.Spec)
 	if !ok {
 		return p.own.Start(ctx, to, o)
 	}
@@ -308,7 +373,7 @@
 
 // Stop implements connector.Runner.
 func (p *Pool) Stop(ctx context.Context, to connector.WorkerTarget, run connector.RunID, epoch identifier.Epoch) (connector.OrderAnswer, error) {
-	r, ok, err := p.carry(ctx, to, order{Kind: orderStop, Run: nameOf(run), Epoch: epoch}, "")
+	r, ok, err := p.carry(ctx, to, stopOf(run, epoch), "")
 	if !ok {
 		return p.own.Stop(ctx, to, run, epoch)
 	}
@@ -317,7 +382,7 @@
 
 // Pace implements connector.Runner.
 func (p *Pool) Pace(ctx context.Context, to connector.WorkerTarget, run connector.RunID, percent int, epoch identifier.Epoch) (connector.OrderAnswer, error) {
-	r, ok, err := p.carry(ctx, to, order{Kind: orderPace, Run: nameOf(run), Percent: percent, Epoch: epoch}, "")
+	r, ok, err := p.carry(ctx, to, paceOf(run, percent, epoch), "")
 	if !ok {
 		return p.own.Pace(ctx, to, run, percent, epoch)
 	}
@@ -326,9 +391,23 @@
 
 // Hold implements connector.Runner.
 func (p *Pool) Hold(ctx context.Context, to connector.WorkerTarget, o connector.HoldOrder) (connector.HoldAnswer, error) {
-	r, ok, err := p.carry(ctx, to, order{Kind: orderHold, Epoch: o.Epoch, LeaseUntil: o.LeaseUntil, Forget: o.Forget, Wait: o.Wait}, "")
+	r, ok, err := p.carry(ctx, to, holdOf(o), "")
 	if !ok {
 		return p.own.Hold(ctx, to, o)
 	}
 	return r.hold(), err
 }
+
+// BeginStart implements connector.Beginner.
+func (p *Pool) BeginStart(ctx context.Context, to connector.WorkerTarget, o connector.RunOrder, timeout time.Duration, done func(connector.OrderAnswer, error)) bool {
+	order := startOf(o)
+	order.Timeout = timeout
+	return p.begin(ctx, to, order, o.Spec, func(r reply, err error) { done(r.answer(), err) })
+}
+
+// BeginHold implements connector.Beginner.
+func (p *Pool) BeginHold(ctx context.Context, to connector.WorkerTarget, o connector.HoldOrder, timeout time.Duration, done func(connector.HoldAnswer, error)) bool {
+	order := holdOf(o)
+	order.Timeout = timeout
+	return p.begin(ctx, to, order, "", func(r reply, err error) { done(r.hold(), err) })
+}
--- a/internal/carrier/session.go
+++ b/internal/carrier/session.go
@@ -12,10 +12,22 @@
 )
 
 // specifiedOrder is an order with the spec of its run, and when its caller leaves; zero
-// is never.
+// is never. Wanted is nil or ends when nobody waits for the order any more.
 type specifiedOrder struct {
 	order
-	spec  string
+	spec   string
+	leave  time.Time
+	wanted context.Context
+}
+
+// abandoned reports whether nobody waits for the order at a moment.
+func (o specifiedOrder) abandoned(now time.Time) bool {
+	return !o.leave.IsZero() && !now.Before(o.leave) || o.wanted != nil && o.wanted.Err() != nil
+}
+
+// call is an order under way and who is told what came of it, once and without blocking.
+type call struct {
+	done  func(reply, error)
 	leave time.Time
 }
 
@@ -29,24 +41,36 @@
 
 	mu      sync.Mutex
 	number  uint64
-	pending map[uint64]chan reply
+	pending map[uint64]call
 	heardAt time.Time
 	closed  bool
 }
 
 func newSession(peer messenger.Peer, o Offer, uptime, gap func() time.Duration) *session {
-	s := &session{peer: peer, offer: o, gap: gap, pending: map[uint64]chan reply{}, heardAt: time.Now()}
+	s := &session{peer: peer, offer: o, gap: gap, pending: map[uint64]call{}, heardAt: time.Now()}
 	s.orders = newSender(peer, messenger.MethodOrders, uptime, s.pack)
 	return s
 }
 
 func (s *session) pack(list []specifiedOrder) any {
-	out := pack(list)
+	now := time.Now()
+	wanted := list[:0]
+	for _, o := range list {
+		if o.abandoned(now) {
+			s.finish(o.Number, reply{}, errAbandoned)
+			continue
+		}
+		wanted = append(wanted, o)
+	}
+	out := pack(wanted)
 	out.Gap = s.gap()
 	s.orders.setGap(out.Gap)
 	return out
 }
 
+// errAbandoned marks an order that was not sent since its caller had left.
+var errAbandoned = errors.Mark(errors.New("the order waited until its caller had left"), connector.ErrNotSent)
+
 // pack makes a batch in which each spec stands once.
 func pack(list []specifiedOrder) orders {
 	out := orders{List: make([]order, 0, len(list))}
@@ -80,11 +104,11 @@
 func (s *session) close() {
 	s.peer.Close()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = true
-	for number, ch := range s.pending {
-		delete(s.pending, number)
-		close(ch)
+	pending := s.pending
+	s.pending, s.closed = map[uint64]call{}, true
+	s.mu.Unlock()
+	for _, c := range pending {
+		c.done(reply{}, errHostGone)
 	}
 }
 
@@ -103,53 +127,93 @@
 
 // do makes a call through the host and waits for the answer.
 func (s *session) do(ctx context.Context, o order, spec string) (reply, error) {
-	ch, number, ok := s.expect()
+	type outcome struct {
+		reply
+		err error
+	}
+	answered := make(chan outcome, 1)
+	leave, _ := ctx.Deadline()
+	// The call is taken out by the context, also if nothing looks for late ones.
+	number, ok := s.begin(specifiedOrder{order: o, spec: spec, leave: leave}, call{
+		done: func(r reply, err error) { answered <- outcome{r, err} },
+	})
 	if !ok {
 		return reply{}, errNoHost
 	}
-	o.Number = number
-	leave, _ := ctx.Deadline()
-	s.orders.put(specifiedOrder{o, spec, leave})
 	select {
-	case r, answered := <-ch:
-		if !answered {
-			return reply{}, errHostGone
-		}
-		return r, nil
+	case out := <-answered:
+		return out.reply, out.err
 	case <-ctx.Done():
-		s.mu.Lock()
-		delete(s.pending, number)
-		s.mu.Unlock()
-		effect := connector.ErrUnknown
-		if s.orders.remove(func(o specifiedOrder) bool { return o.Number == number }) {
-			effect = connector.ErrNotSent
-		}
-		return reply{}, errors.Mark(errors.Wrapf(ctx.Err(), "no answer through %s", s.offer.Name), effect)
+		return reply{}, s.abandon(number, ctx.Err())
 	}
 }
 
-func (s *session) expect() (ch chan reply, number uint64, ok bool) {
+// begin queues an order; ok is false if the connection has ended.
+func (s *session) begin(o specifiedOrder, c call) (number uint64, ok bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.closed {
-		return nil, 0, false
+		s.mu.Unlock()
+		return 0, false
 	}
 	s.number++
-	ch = make(chan reply, 1)
-	s.pending[s.number] = ch
-	return ch, s.number, true
+	o.Number = s.number
+	s.pending[o.Number] = c
+	s.mu.Unlock()
+	s.orders.put(o)
+	return o.Number, true
+}
+
+// abandon forgets a call that nobody waits for any more, and returns what is known of it.
+func (s *session) abandon(number uint64, cause error) error {
+	s.mu.Lock()
+	delete(s.pending, number)
+	s.mu.Unlock()
+	return s.unanswered(number, cause)
+}
+
+// unanswered returns the error of a call without an answer. An order that is still queued
+// is not sent.
+func (s *session) unanswered(number uint64, cause error) error {
+	effect := connector.ErrUnknown
+	if s.orders.remove(func(o specifiedOrder) bool { return o.Number == number }) {
+		effect = connector.ErrNotSent
+	}
+	return errors.Mark(errors.Wrapf(cause, "no answer through %s", s.offer.Name), effect)
+}
+
+// finish tells what came of a call, unless that was told already.
+func (s *session) finish(number uint64, r reply, err error) {
+	s.mu.Lock()
+	c, ok := s.pending[number]
+	delete(s.pending, number)
+	s.mu.Unlock()
+	if ok {
+		c.done(r, err)
+	}
+}
+
+// expire ends the calls whose callers leave before a moment.
+func (s *session) expire(now time.Time) {
+	var late []uint64
+	s.mu.Lock()
+	for number, c := range s.pending {
+		if !c.leave.IsZero() && !now.Before(c.leave) {
+			late = append(late, number)
+		}
+	}
+	s.mu.Unlock()
+	for _, number := range late {
+		s.finish(number, reply{}, s.unanswered(number, context.DeadlineExceeded))
+	}
 }
 
 // receive hands replies to those who wait; one that nobody waits for is dropped, since
 // its call counts as unanswered already.
 func (s *session) receive(replies []reply) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.heardAt = time.Now()
+	s.mu.Unlock()
 	for _, r := range replies {
-		if ch, ok := s.pending[r.Number]; ok {
-			delete(s.pending, r.Number)
-			ch <- r
-		}
+		s.finish(r.Number, r, nil)
 	}
 }
--- a/internal/connector/runner.go
+++ b/internal/connector/runner.go
@@ -148,6 +148,15 @@
 	Pace(ctx context.Context, to WorkerTarget, run RunID, percent int, epoch identifier.Epoch) (OrderAnswer, error)
 }
 
+// Beginner is a Runner that can also make calls without a goroutine for each, for callers
+// with thousands of them under way. A call that is begun ends within its timeout, or as
+// not sent if ctx ends before it is sent; done is told once what came of it and must not
+// block. It is not called, and the call has to be made by the Runner, if false is returned.
+type Beginner interface {
+	BeginStart(ctx context.Context, to WorkerTarget, o RunOrder, timeout time.Duration, done func(OrderAnswer, error)) bool
+	BeginHold(ctx context.Context, to WorkerTarget, o HoldOrder, timeout time.Duration, done func(HoldAnswer, error)) bool
+}
+
 // QueueConfig is the configuration of a queue in force.
 type QueueConfig struct {
 	Name    identifier.Queue   `cbor:"1,keyasint" json:"name"`
--- a/internal/dispatcher/effect.go
+++ b/internal/dispatcher/effect.go
@@ -28,11 +28,11 @@
 func (t *Term) carryOut(ctx context.Context, c planner.Command) error {
 	switch c := c.(type) {
 	case planner.StartRun:
-		t.begin(func() { t.start(ctx, c) }, c)
+		t.beginStart(ctx, c)
 	case planner.StopRun:
 		t.begin(func() { t.stop(ctx, c) }, c)
 	case planner.HoldWorker:
-		t.begin(func() { t.hold(ctx, c) }, c)
+		t.beginHold(ctx, c)
 	case planner.PaceRun:
 		t.begin(func() { t.pace(ctx, c) }, c)
 	case planner.AskAdvice:
@@ -89,15 +89,27 @@
 	return connector.Advice{}, errors.Mark(errNoAdviser, connector.ErrNotSent)
 }
 
-func (t *Term) start(ctx context.Context, c planner.StartRun) {
+// beginStart sends a start unless this host may not act as the holder any more.
+func (t *Term) beginStart(ctx context.Context, c planner.StartRun) {
 	if !t.valid() {
 		t.fail(c, errors.Mark(errNotValid, connector.ErrNotSent))
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	answer, err := t.runner.Start(ctx, c.To, c.Order)
-	t.Notify(planner.StartAnswered{Worker: c.To.ID, Run: c.Order.Run, Epoch: c.Order.Epoch, Answer: answer, Err: err})
+	done := func(answer connector.OrderAnswer, err error) {
+		t.Notify(planner.StartAnswered{Worker: c.To.ID, Run: c.Order.Run, Epoch: c.Order.Epoch, Answer: answer, Err: err})
+	}
+	if b, ok := t.runner.(connector.Beginner); ok && b.BeginStart(ctx, c.To, c.Order, orderTimeout, done) {
+		return
+	}
+	t.begin(func() {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		if !t.valid() {
+			t.fail(c, errors.Mark(errNotValid, connector.ErrNotSent))
+			return
+		}
+		done(t.runner.Start(ctx, c.To, c.Order))
+	}, c)
 }
 
 func (t *Term) stop(ctx context.Context, c planner.StopRun) {
@@ -107,15 +119,33 @@
 	t.Notify(planner.StopAnswered{Worker: c.To.ID, Run: c.Run, Answer: answer, Err: err})
 }
 
-func (t *Term) hold(ctx context.Context, c planner.HoldWorker) {
-	ctx, cancel := context.WithTimeout(ctx, c.Order.Wait+holdSlack)
-	defer cancel()
+// beginHold looks at a worker.
+func (t *Term) beginHold(ctx context.Context, c planner.HoldWorker) {
+	timeout := c.Order.Wait + holdSlack
+	if b, ok := t.runner.(connector.Beginner); ok {
+		done := t.lookAnswered(&c)
+		if b.BeginHold(ctx, c.To, c.Order, timeout, done) {
+			return
+		}
+	}
+	t.begin(func() {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		done := t.lookAnswered(&c)
+		done(t.runner.Hold(ctx, c.To, c.Order))
+	}, c)
+}
+
+// lookAnswered begins a look, which renews the lease only if it may, and returns what is
+// to be told the answer.
+func (t *Term) lookAnswered(c *planner.HoldWorker) func(connector.HoldAnswer, error) {
 	if !t.mayRenew() {
 		c.Order.LeaseUntil = nil
 	}
 	sent := time.Now()
-	answer, err := t.runner.Hold(ctx, c.To, c.Order)
-	t.Notify(planner.HoldAnswered{Worker: c.To.ID, Order: c.Order, SentAt: sent, Answer: answer, Err: err})
+	return func(answer connector.HoldAnswer, err error) {
+		t.Notify(planner.HoldAnswered{Worker: c.To.ID, Order: c.Order, SentAt: sent, Answer: answer, Err: err})
+	}
 }
 
 // mayRenew reports whether the store was reached recently enough for leases to be
