--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -89,6 +89,7 @@
 	case step.Serves():
 		addCount(p.servingImages, step.Image, by)
 		if addCount(w.servingBy, step.Image, by) {
+			w.servingChanged(step.Image)
 			for scavenger := range w.scavengersBy {
 				addCount(p.neighbours, imagePair{step.Image, scavenger}, by)
 			}
@@ -102,6 +103,42 @@
 	}
 }
 
+// servingChanged keeps the list of images that serve on a worker.
+func (w *worker) servingChanged(image identifier.Image) {
+	if w.servingBy[image] > 0 {
+		w.servingList = append(w.servingList, image)
+		return
+	}
+	w.servingList = slices.DeleteFunc(w.servingList, func(other identifier.Image) bool { return other == image })
+}
+
+// belief is what is believed of a pair for the choice of a place.
+type belief struct {
+	supposed       estimator.Pressure
+	known, harmful bool
+}
+
+// beliefOf returns what is believed of a pair. It is as new as the pass: a choice asks
+// for the same pair at hundreds of workers.
+func (p *Planner) beliefOf(serving, scavenger identifier.Image) belief {
+	of, ok := p.beliefs[scavenger]
+	if !ok {
+		of = map[identifier.Image]belief{}
+		p.beliefs[scavenger] = of
+	}
+	b, ok := of[serving]
+	if !ok {
+		pressure, known := p.harm.Pressure(serving, scavenger), p.harm.Known(serving, scavenger)
+		b = belief{supposed: pressure, known: known, harmful: known && pressure >= harmfulPressure}
+		if !known {
+			// A pair that is not known gets the benefit of the doubt, so that it becomes known.
+			b.supposed = min(pressure, estimator.PriorPressure)
+		}
+		of[serving] = b
+	}
+	return b
+}
+
 // addCount changes a count and reports whether the key came or went.
 func addCount[K comparable](counts map[K]int, key K, by int) bool {
 	before := counts[key]
@@ -136,8 +173,8 @@
 // of an image joins with a share of its processors.
 func (p *Planner) expectedSlack(w *worker, scavenger identifier.Image, use float64) estimator.Slack {
 	least := ampleSlack
-	for serving := range w.servingBy {
-		loss := p.promisedLoss(w, serving) + estimator.Slack(use*float64(p.supposed(serving, scavenger)))
+	for _, serving := range w.servingList {
+		loss := p.promisedLoss(w, serving) + estimator.Slack(use*float64(p.beliefOf(serving, scavenger).supposed))
 		least = min(least, w.baseSlack(serving)-caution*loss)
 	}
 	return least
@@ -158,16 +195,6 @@
 	return loss
 }
 
-// supposed returns the pressure of a pair for the choice of a place. One that is not
-// known gets the benefit of the doubt, so that it becomes known.
-func (p *Planner) supposed(serving, scavenger identifier.Image) estimator.Pressure {
-	pressure := p.harm.Pressure(serving, scavenger)
-	if p.harm.Known(serving, scavenger) {
-		return pressure
-	}
-	return min(pressure, estimator.PriorPressure)
-}
-
 // ampleSlack is that of a worker without tasks that serve.
 const ampleSlack estimator.Slack = 4
 
@@ -194,19 +221,14 @@
 // harmsOn reports whether a scavenger is known to harm an image that serves on a
 // worker.
 func (p *Planner) harmsOn(w *worker, scavenger identifier.Image) bool {
-	for serving := range w.servingBy {
-		if p.harm.Known(serving, scavenger) && p.harm.Pressure(serving, scavenger) >= harmfulPressure {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(w.servingList, func(serving identifier.Image) bool { return p.beliefOf(serving, scavenger).harmful })
 }
 
 // explores reports whether a scavenger makes no pair that is not known stand in a
 // second place: what one place tells is enough.
 func (p *Planner) explores(w *worker, scavenger identifier.Image) bool {
-	for serving := range w.servingBy {
-		if !p.harm.Known(serving, scavenger) && p.neighbours[imagePair{serving, scavenger}] > 0 {
+	for _, serving := range w.servingList {
+		if !p.beliefOf(serving, scavenger).known && p.neighbours[imagePair{serving, scavenger}] > 0 {
 			return false
 		}
 	}
--- a/internal/planner/looks_bench_test.go
+++ b/internal/planner/looks_bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/limiter"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 	"github.com/balsamcove/balsamcove/pkg/submitter"
 )
@@ -82,3 +83,32 @@
 		})
 	}
 }
+
+// BenchmarkChoice is a look for places of a scavenger that finds none on 1,800 workers,
+// each of which serves three images.
+func BenchmarkChoice(b *testing.B) {
+	const workers, images = 1800, 3
+	p, now := benchPlanner(workers)
+	for i := range images {
+		image := identifier.Image(fmt.Sprint("serves", i))
+		p.harm.Set(image, "fills", 10)
+		p.Inform(now, JobSubmitted{Job: submitter.Job{ID: identifier.Job(fmt.Sprintf("%016x", i)), Queue: queue, Steps: []submitter.Step{{
+			Count: workers, Size: identifier.Size{Processors: 3000, Memory: 1000}, MaxPerWorker: 1, LongRunning: true, TailTarget: identifier.Duration(time.Second), Image: image,
+		}}}, Queue: queueConfig})
+		for range 8 {
+			p.Update(now)
+			p.starts, p.unsent = limiter.NewWindow(), 0
+		}
+	}
+	const id identifier.Job = "00000000000000aa"
+	p.Inform(now, JobSubmitted{Job: submitter.Job{ID: id, Queue: queue, Steps: []submitter.Step{{Count: 30, Size: small, Scavenger: true, Image: "fills"}}}, Queue: queueConfig})
+	t := &p.jobs[id].occurrences[0][0].tasks[0]
+	d := p.demandOf(t, time.Second)
+	for b.Loop() {
+		clear(p.beliefs)
+		if c := p.newChoice(t, d); len(c.places) > 0 {
+			b.Fatalf("%d places", len(c.places))
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/workers, "ns/worker")
+}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -73,10 +73,15 @@
 	}
 }
 
-// revisitPerWorker is, by the number of workers, the time after which places for
-// scavengers are looked for again where there were none: a look at all workers takes
-// about a microsecond each, and scavengers run for seconds.
-const revisitPerWorker = 100 * time.Microsecond
+const (
+	// revisitPerLook is, by the number of workers and of demands without a place, the time
+	// after which places for scavengers are looked for again where there were none: a look
+	// at a worker takes about half a microsecond, a sixth of that, and scavengers run for
+	// seconds.
+	revisitPerLook = 3 * time.Microsecond
+	// maxRevisit bounds it.
+	maxRevisit = 500 * time.Millisecond
+)
 
 // fullSizes remembers sizes for which no room was found, and the most that any worker
 // had left when the pass began: under overload most tasks need no look at the workers.
@@ -113,7 +118,7 @@
 		}
 		f.sizes[d] = list
 	}
-	f.revisit = time.Duration(len(p.workers)) * revisitPerWorker
+	f.revisit = min(time.Duration(len(p.workers)*(len(f.sizes)+1))*revisitPerLook, maxRevisit)
 	f.most = map[identifier.Service]mostRoom{}
 	for _, w := range p.list {
 		if !p.usable(w) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -88,6 +88,8 @@
 	servingImages map[identifier.Image]int
 	// neighbours counts the workers that have both images of a pair.
 	neighbours map[imagePair]int
+	// beliefs are those of the pass, by scavenger and serving image.
+	beliefs map[identifier.Image]map[identifier.Image]belief
 
 	// full are the sizes for which there was no room lately.
 	full fullSizes
@@ -156,6 +158,7 @@
 		harm:              estimator.New(),
 		servingImages:     map[identifier.Image]int{},
 		neighbours:        map[imagePair]int{},
+		beliefs:           map[identifier.Image]map[identifier.Image]belief{},
 		starts:            limiter.NewWindow(),
 		stops:             limiter.NewWindow(),
 		stopsSent:         map[workerRun]time.Time{},
@@ -170,6 +173,7 @@
 // next Update.
 func (p *Planner) Inform(now time.Time, events ...Event) {
 	p.now = now
+	clear(p.beliefs)
 	for _, e := range events {
 		p.profile.Enter(partOf(e))
 		p.apply(e)
@@ -194,6 +198,7 @@
 // Update takes events into account and returns what has to be done now.
 func (p *Planner) Update(now time.Time, events ...Event) []Command {
 	p.Inform(now, events...)
+	clear(p.beliefs)
 	p.profile.Enter(profiler.PartUpkeep)
 	p.startHeld()
 	p.activateDue()
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -103,9 +103,11 @@
 	// servingBy and scavengersBy count the runs of each image.
 	servingBy    map[identifier.Image]int
 	scavengersBy map[identifier.Image]int
-	holding      bool
-	nextHold     time.Time
-	misses       int
+	// servingList has the images of servingBy.
+	servingList []identifier.Image
+	holding     bool
+	nextHold    time.Time
+	misses      int
 	// failures counts failed runs in a row, over all jobs.
 	failures    int
 	quarantined time.Time
