--- a/internal/dispatcher/overload_test.go
+++ b/internal/dispatcher/overload_test.go
@@ -225,6 +225,39 @@
 	synctest.Wait()
 }
 
+// cancelBound is by when the runs of a cancelled job have to be gone, the users' shortest
+// bound for a start after a cancellation and for the stop of a run.
+const cancelBound = 3900 * time.Millisecond
+
+// TestCancelledJobsStopUnderOverload cancels a job of many runs while a holder is offered
+// more calls than it can make.
+func TestCancelledJobsStopUnderOverload(t *testing.T) {
+	tests := map[string]int{"within its reach": 7, "2.2 times": 24, "2.8 times": 30}
+	for name, tasks := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCrowd(t)
+				done := c.hold()
+				c.hand(lastingJob, testQueue, submitter.Step{Count: lastingTasks, LongRunning: true})
+				time.Sleep(4 * time.Second)
+				ctx, cancel := context.WithCancel(c.ctx)
+				go c.handMany(ctx, testQueue, submitPeriod, tasks)
+				time.Sleep(10 * time.Second)
+				c.cancel(lastingJob)
+				time.Sleep(cancelBound)
+				if n := c.fleet.Active(lastingJob); n > 0 {
+					t.Errorf("%d of %d runs go on %v after their job was cancelled", n, lastingTasks, cancelBound)
+				}
+				cancel()
+				c.stop()
+				<-done
+				time.Sleep(time.Minute)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // judgeRuns checks that what began goes on, and that enough began.
 func (c *crowd) judgeRuns() {
 	c.mu.Lock()
