What a place leaves to those that serve is worked out once a look, not once a choice

Now images that serve are numbered, what is left to them on a worker is kept until its runs or tails change, and looks reuse their maps. No decision changes.

--- a/internal/carrier/wire.go
+++ b/internal/carrier/wire.go
@@ -151,6 +151,7 @@
 
 func (r *reply) setHold(a connector.HoldAnswer) {
 	r.Verdict, r.Clock, r.Born = a.Verdict, a.Clock, a.Born
+	r.Active, r.Ended = make([]activeRun, 0, len(a.Active)), make([]endedRun, 0, len(a.Ended))
 	for _, x := range a.Active {
 		r.Active = append(r.Active, activeRun{Run: nameOf(x.Run), Checkpoint: x.Checkpoint, Percent: x.Percent, Tail: x.Tail, Used: x.Used})
 	}
@@ -164,7 +165,10 @@
 }
 
 func (r *reply) hold() connector.HoldAnswer {
-	out := connector.HoldAnswer{OrderAnswer: r.answer(), Born: r.Born}
+	out := connector.HoldAnswer{
+		OrderAnswer: r.answer(), Born: r.Born,
+		Active: make([]connector.ActiveRun, 0, len(r.Active)), Ended: make([]connector.EndedRun, 0, len(r.Ended)),
+	}
 	for _, x := range r.Active {
 		out.Active = append(out.Active, connector.ActiveRun{Run: x.Run.run(), Checkpoint: x.Checkpoint, Percent: x.Percent, Tail: x.Tail, Used: x.Used})
 	}
--- a/internal/estimator/baseline.go
+++ b/internal/estimator/baseline.go
@@ -17,7 +17,9 @@
 // users, so that those without scavengers beside them tell how much slack the
 // others would have. The zero value knows nothing.
 type Baseline struct {
-	seen   []observation
+	seen []observation
+	// sorted are their slacks, kept for the next time.
+	sorted []Slack
 	last   Slack
 	lastAt time.Time
 }
@@ -40,12 +42,12 @@
 
 // median returns the upper median, which a single long tail does not change.
 func (b *Baseline) median() Slack {
-	slacks := make([]Slack, len(b.seen))
-	for i, o := range b.seen {
-		slacks[i] = o.slack
+	b.sorted = b.sorted[:0]
+	for _, o := range b.seen {
+		b.sorted = append(b.sorted, o.slack)
 	}
-	slices.Sort(slacks)
-	return slacks[len(slacks)/2]
+	slices.Sort(b.sorted)
+	return b.sorted[len(b.sorted)/2]
 }
 
 // Slack returns the present slack without scavengers; fresh is false if it was not
--- /dev/null
+++ b/internal/planner/belief_test.go
@@ -0,0 +1,35 @@
+package planner
+
+import (
+	"testing"
+
+	"github.com/balsamcove/balsamcove/internal/estimator"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
+)
+
+// TestImagesThatBeginToServeWithinAPassAreJudged checks that what is believed of a
+// scavenger follows the images on a worker while the same pass goes on.
+func TestImagesThatBeginToServeWithinAPassAreJudged(t *testing.T) {
+	const scavenger, use = "fills", 0.1
+	b := newBench(t, workerEntry("w"))
+	w := b.p.workerOf("w")
+	pressures := []estimator.Pressure{1, 12, 3}
+	images := []identifier.Image{"first", "second", "third"}
+	want := ampleSlack
+	for i, image := range images {
+		b.p.harm.Set(image, scavenger, pressures[i])
+		b.p.countImage(w, &submitter.Step{LongRunning: true, TailTarget: 1, Image: image}, 1)
+		want = min(want, usualSlack-caution*estimator.Slack(use*float64(pressures[i])))
+		if got := b.p.expectedSlack(w, scavenger, use); got != want {
+			t.Errorf("%d images serve: slack %v expected, want %v", i+1, got, want)
+		}
+		if harms := b.p.harmsOn(w, scavenger); harms != (i > 0) {
+			t.Errorf("%d images serve: harms %v", i+1, harms)
+		}
+	}
+	b.p.countImage(w, &submitter.Step{LongRunning: true, TailTarget: 1, Image: "second"}, -1)
+	if b.p.harmsOn(w, scavenger) {
+		t.Error("an image that does not serve any more is harmed")
+	}
+}
--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -37,17 +37,14 @@
 // imagePair is a task that serves and a scavenger beside it.
 type imagePair struct{ serving, scavenger identifier.Image }
 
-// scavengerLoad returns the load of a worker by scavengers that were lately at
-// work.
-func (w *worker) scavengerLoad(now time.Time) estimator.Load {
-	l := estimator.Load{}
+// addScavengers adds the scavengers of a worker that were lately at work to a load.
+func (w *worker) addScavengers(l estimator.Load, now time.Time) {
 	for _, r := range w.runs {
 		if step := r.task.group.step; step.Scavenger {
 			addUse(l, step.Image, share(r.used, w.entry.Capacity.Processors))
 		}
 	}
 	w.addDeparted(l, now)
-	return l
 }
 
 // addUse adds a scavenger that was at work.
@@ -89,7 +86,7 @@
 	case step.Serves():
 		addCount(p.servingImages, step.Image, by)
 		if addCount(w.servingBy, step.Image, by) {
-			w.servingChanged(step.Image)
+			p.servingChanged(w, step.Image)
 			for scavenger := range w.scavengersBy {
 				addCount(p.neighbours, imagePair{step.Image, scavenger}, by)
 			}
@@ -103,40 +100,60 @@
 	}
 }
 
+// servingImage is an image that serves, with its number in the planner's beliefs.
+type servingImage struct {
+	image  identifier.Image
+	number int
+}
+
 // servingChanged keeps the list of images that serve on a worker.
-func (w *worker) servingChanged(image identifier.Image) {
-	if w.servingBy[image] > 0 {
-		w.servingList = append(w.servingList, image)
+func (p *Planner) servingChanged(w *worker, image identifier.Image) {
+	w.slacksLeft = nil
+	if w.servingBy[image] == 0 {
+		w.servingList = slices.DeleteFunc(w.servingList, func(s servingImage) bool { return s.image == image })
 		return
 	}
-	w.servingList = slices.DeleteFunc(w.servingList, func(other identifier.Image) bool { return other == image })
+	number, ok := p.servingNumbers[image]
+	if !ok {
+		number = len(p.servingNumbers)
+		p.servingNumbers[image] = number
+	}
+	w.servingList = append(w.servingList, servingImage{image, number})
 }
 
 // belief is what is believed of a pair for the choice of a place.
 type belief struct {
+	asked          bool
 	supposed       estimator.Pressure
 	known, harmful bool
 }
 
-// beliefOf returns what is believed of a pair. It is as new as the pass: a choice asks
-// for the same pair at hundreds of workers.
-func (p *Planner) beliefOf(serving, scavenger identifier.Image) belief {
-	of, ok := p.beliefs[scavenger]
-	if !ok {
-		of = map[identifier.Image]belief{}
-		p.beliefs[scavenger] = of
+// beliefsOf returns what is believed of a scavenger beside each image that serves, by the
+// numbers of these. It is as new as the pass: a choice asks for the same pairs at hundreds
+// of workers.
+func (p *Planner) beliefsOf(scavenger identifier.Image) []belief {
+	beliefs := p.beliefs[scavenger]
+	if missing := len(p.servingNumbers) - len(beliefs); missing > 0 {
+		// Images may begin to serve within a pass.
+		beliefs = append(beliefs, make([]belief, missing)...)
+		p.beliefs[scavenger] = beliefs
 	}
-	b, ok := of[serving]
-	if !ok {
-		pressure, known := p.harm.Pressure(serving, scavenger), p.harm.Known(serving, scavenger)
-		b = belief{supposed: pressure, known: known, harmful: known && pressure >= harmfulPressure}
-		if !known {
-			// A pair that is not known gets the benefit of the doubt, so that it becomes known.
-			b.supposed = min(pressure, estimator.PriorPressure)
-		}
-		of[serving] = b
+	return beliefs
+}
+
+// beliefOf returns what is believed of a pair; beliefs are those of the scavenger.
+func (p *Planner) beliefOf(s servingImage, scavenger identifier.Image, beliefs []belief) belief {
+	b := &beliefs[s.number]
+	if b.asked {
+		return *b
+	}
+	pressure, known := p.harm.Pressure(s.image, scavenger), p.harm.Known(s.image, scavenger)
+	*b = belief{asked: true, supposed: pressure, known: known, harmful: known && pressure >= harmfulPressure}
+	if !known {
+		// A pair that is not known gets the benefit of the doubt, so that it becomes known.
+		b.supposed = min(pressure, estimator.PriorPressure)
 	}
-	return b
+	return *b
 }
 
 // addCount changes a count and reports whether the key came or went.
@@ -172,27 +189,27 @@
 // expectedSlack returns the least slack that is expected on a worker if a scavenger
 // of an image joins with a share of its processors.
 func (p *Planner) expectedSlack(w *worker, scavenger identifier.Image, use float64) estimator.Slack {
+	if w.slacksLeft == nil {
+		w.slacksLeft = p.slacksLeft(w)
+	}
+	beliefs := p.beliefsOf(scavenger)
 	least := ampleSlack
-	for _, serving := range w.servingList {
-		loss := p.promisedLoss(w, serving) + estimator.Slack(use*float64(p.beliefOf(serving, scavenger).supposed))
-		least = min(least, w.baseSlack(serving)-caution*loss)
+	for i, serving := range w.servingList {
+		loss := estimator.Slack(use * float64(p.beliefOf(serving, scavenger, beliefs).supposed))
+		least = min(least, w.slacksLeft[i]-caution*loss)
 	}
 	return least
 }
 
-// promisedLoss returns the slack that the scavengers on a worker, at what they were
-// promised, are expected to take from a serving image. It is as new as the last look
-// at the worker, or the last change of its scavengers.
-func (p *Planner) promisedLoss(w *worker, serving identifier.Image) estimator.Slack {
-	loss, known := w.losses[serving]
-	if !known {
-		loss = p.harm.Loss(serving, w.scavengerShares)
-		if w.losses == nil {
-			w.losses = map[identifier.Image]estimator.Slack{}
-		}
-		w.losses[serving] = loss
+// slacksLeft returns the slack that the scavengers on a worker, at what they were
+// promised, are expected to leave to each image of its servingList. It is as new as the
+// last look at the worker, or the last change of its runs.
+func (p *Planner) slacksLeft(w *worker) []estimator.Slack {
+	left := make([]estimator.Slack, len(w.servingList))
+	for i, serving := range w.servingList {
+		left[i] = w.baseSlack(serving.image) - caution*p.harm.Loss(serving.image, w.scavengerShares)
 	}
-	return loss
+	return left
 }
 
 // ampleSlack is that of a worker without tasks that serve.
@@ -221,14 +238,16 @@
 // harmsOn reports whether a scavenger is known to harm an image that serves on a
 // worker.
 func (p *Planner) harmsOn(w *worker, scavenger identifier.Image) bool {
-	return slices.ContainsFunc(w.servingList, func(serving identifier.Image) bool { return p.beliefOf(serving, scavenger).harmful })
+	beliefs := p.beliefsOf(scavenger)
+	return slices.ContainsFunc(w.servingList, func(s servingImage) bool { return p.beliefOf(s, scavenger, beliefs).harmful })
 }
 
 // explores reports whether a scavenger makes no pair that is not known stand in a
 // second place: what one place tells is enough.
 func (p *Planner) explores(w *worker, scavenger identifier.Image) bool {
+	beliefs := p.beliefsOf(scavenger)
 	for _, serving := range w.servingList {
-		if !p.beliefOf(serving, scavenger).known && p.neighbours[imagePair{serving, scavenger}] > 0 {
+		if !p.beliefOf(serving, scavenger, beliefs).known && p.neighbours[imagePair{serving.image, scavenger}] > 0 {
 			return false
 		}
 	}
@@ -257,13 +276,15 @@
 // observeTails learns from the tails on a worker, and keeps them below their
 // targets.
 func (p *Planner) observeTails(w *worker) {
-	clear(w.losses)
+	w.slacksLeft = nil
 	if w.serving == 0 {
 		w.slack = ampleSlack
 		p.letGo(w)
 		return
 	}
-	load := w.scavengerLoad(p.now)
+	load := p.load
+	clear(load)
+	w.addScavengers(load, p.now)
 	p.observeBaselines(w, load)
 	p.learnPressures(w, load)
 	p.regulate(w)
@@ -273,7 +294,7 @@
 // that the expectation corrects it.
 func (p *Planner) observeBaselines(w *worker, load estimator.Load) {
 	w.slack = ampleSlack
-	w.baseSlacks = map[identifier.Image]estimator.Slack{}
+	clear(w.baseSlacks)
 	for _, r := range w.runs {
 		if !r.showsTail() {
 			continue
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -162,13 +162,11 @@
 	for _, ended := range e.Answer.Ended {
 		p.ended(w, ended)
 	}
-	listed := make(map[connector.RunID]struct{}, len(e.Answer.Active))
 	for _, a := range e.Answer.Active {
-		listed[a.Run] = struct{}{}
 		p.active(w, a)
 	}
 	if len(e.Answer.Ended) < maxListedEnds {
-		p.findMissing(w, listed, e)
+		p.findMissing(w, e)
 	}
 	p.observeTails(w)
 	p.relieveStragglers(w)
@@ -182,6 +180,7 @@
 		p.stray(w, a)
 		return
 	}
+	r.listedIn = p.counts.looks
 	if r.phase == runStarting || r.phase == runUnsure {
 		p.activated(r)
 	}
@@ -208,7 +207,7 @@
 	}
 	r := &run{
 		id: a.Run, task: t, size: t.group.step.Size, phase: runStopping, answered: p.now, started: p.now,
-		unwanted: true, stopSent: true, pace: fullPace, progress: p.now,
+		unwanted: true, stopSent: true, pace: fullPace, progress: p.now, listedIn: p.counts.looks,
 	}
 	p.reserve(w, r)
 	t.runs = append(t.runs, r)
@@ -231,9 +230,9 @@
 }
 
 // findMissing gives up runs that the worker should have listed.
-func (p *Planner) findMissing(w *worker, listed map[connector.RunID]struct{}, e HoldAnswered) {
-	for id, r := range w.runs {
-		if _, ok := listed[id]; ok {
+func (p *Planner) findMissing(w *worker, e HoldAnswered) {
+	for _, r := range w.runs {
+		if r.listedIn == p.counts.looks {
 			continue
 		}
 		switch r.phase {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -84,12 +84,16 @@
 
 	harm       *estimator.Estimator
 	harmsSaved time.Time
+	// load is that of the worker which is looked at.
+	load estimator.Load
 	// servingImages counts the runs of each image that serves.
 	servingImages map[identifier.Image]int
 	// neighbours counts the workers that have both images of a pair.
 	neighbours map[imagePair]int
-	// beliefs are those of the pass, by scavenger and serving image.
-	beliefs map[identifier.Image]map[identifier.Image]belief
+	// servingNumbers are those of all images that have served; beliefs are those of the
+	// pass, by scavenger and by these numbers.
+	servingNumbers map[identifier.Image]int
+	beliefs        map[identifier.Image][]belief
 
 	// full are the sizes for which there was no room lately.
 	full fullSizes
@@ -156,9 +160,11 @@
 		dirty:             map[*job]struct{}{},
 		ends:              map[*worker]identifier.EndNumber{},
 		harm:              estimator.New(),
+		load:              estimator.Load{},
 		servingImages:     map[identifier.Image]int{},
 		neighbours:        map[imagePair]int{},
-		beliefs:           map[identifier.Image]map[identifier.Image]belief{},
+		servingNumbers:    map[identifier.Image]int{},
+		beliefs:           map[identifier.Image][]belief{},
 		starts:            limiter.NewWindow(),
 		stops:             limiter.NewWindow(),
 		stopsSent:         map[workerRun]time.Time{},
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -50,6 +50,8 @@
 	// unwanted is set once the run has to be stopped.
 	unwanted bool
 	stopSent bool
+	// listedIn is the number of the last look that listed the run.
+	listedIn int
 	percent  int
 	progress time.Time
 	pace     int
@@ -103,8 +105,10 @@
 	// servingBy and scavengersBy count the runs of each image.
 	servingBy    map[identifier.Image]int
 	scavengersBy map[identifier.Image]int
-	// servingList has the images of servingBy.
-	servingList []identifier.Image
+	// servingList has the images of servingBy; slacksLeft is what is left to each of them,
+	// nil until it is asked for.
+	servingList []servingImage
+	slacksLeft  []estimator.Slack
 	holding     bool
 	nextHold    time.Time
 	misses      int
@@ -114,9 +118,7 @@
 	departed    []departure
 	// baseSlacks are the slacks without scavengers, by image; scavengerShares is what
 	// the scavengers were promised, by image.
-	baseSlacks map[identifier.Image]estimator.Slack
-	// losses are those that promisedLoss has worked out, by serving image.
-	losses          map[identifier.Image]estimator.Slack
+	baseSlacks      map[identifier.Image]estimator.Slack
 	scavengerShares estimator.Load
 	// slack is the least that was last seen.
 	slack estimator.Slack
@@ -143,7 +145,7 @@
 		w = &worker{
 			id: id, runs: map[connector.RunID]*run{}, leaseEnd: p.inheritedLeaseEnd, sequence: p.sequenceFloor + 1,
 			servingBy: map[identifier.Image]int{}, scavengersBy: map[identifier.Image]int{},
-			scavengerShares: estimator.Load{}, slack: ampleSlack,
+			scavengerShares: estimator.Load{}, baseSlacks: map[identifier.Image]estimator.Slack{}, slack: ampleSlack,
 		}
 		p.workers[id] = w
 		w.index = len(p.list)
@@ -246,7 +248,7 @@
 
 // addShare changes what the scavengers of an image were promised.
 func (w *worker) addShare(image identifier.Image, by float64) {
-	clear(w.losses)
+	w.slacksLeft = nil
 	if w.scavengersBy[image] == 0 {
 		delete(w.scavengerShares, image)
 		return
