Reads follow what the link carries, and a reader that is behind does not count as fresh

Cause: a read asks for up to 1,024 kB and has 0.6 s. The directory stayed too old for starts. The class is that of the window: work is repeated whole after a timeout that it cannot meet. The lines 'dependency lost' of the holder show the same offset for 16 s.

A directory that is behind is not fresh: before, a truncated read counted as complete.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -104,19 +104,18 @@
 	a.mu.Lock()
 	read, from := a.read, a.next
 	a.mu.Unlock()
-	var records []connector.KeyedRecord
-	var next identifier.Offset
+	var news connector.Reading
 	err := connector.ErrExpired
 	if read {
-		records, next, err = a.store.Read(ctx, topicHosts, 0, from, newsWait)
+		news, err = a.store.Read(ctx, topicHosts, 0, from, newsWait)
 	}
 	if errors.Is(err, connector.ErrExpired) {
-		records, next, err = connector.NewestAll(ctx, a.store, topicHosts, 0)
+		news.Records, news.Next, err = connector.NewestAll(ctx, a.store, topicHosts, 0)
 	}
 	if err != nil {
 		return err
 	}
-	a.learn(records, next)
+	a.learn(news.Records, news.Next)
 	return nil
 }
 
--- a/internal/connector/store.go
+++ b/internal/connector/store.go
@@ -60,6 +60,16 @@
 	End identifier.Offset `json:"end"`
 }
 
+// Reading is a part of the records of a partition.
+type Reading struct {
+	Records []KeyedRecord `json:"records"`
+	// Next is the offset after them.
+	Next identifier.Offset `json:"next"`
+	// More is set if the partition held records beyond them: what was read is not yet all
+	// that was there when the read began.
+	More bool `json:"more,omitempty"`
+}
+
 // Membership is a host's share of a group, as the store deals it.
 type Membership struct {
 	Generation uint64      `json:"generation"`
@@ -81,9 +91,9 @@
 	Append(ctx context.Context, a KeyedAppend) (identifier.Offset, error)
 	// Newest returns the newest records of the keys that follow a key.
 	Newest(ctx context.Context, topic Topic, part Partition, after string) (KeyedPage, error)
-	// Read returns the records from an offset on and the next offset; it waits
-	// for the first one up to wait.
-	Read(ctx context.Context, topic Topic, part Partition, from identifier.Offset, wait time.Duration) ([]KeyedRecord, identifier.Offset, error)
+	// Read returns records from an offset on, as many as suit the way to the store; it
+	// waits for the first one up to wait.
+	Read(ctx context.Context, topic Topic, part Partition, from identifier.Offset, wait time.Duration) (Reading, error)
 	// Join enters a group or renews the membership for ttl.
 	Join(ctx context.Context, group string, topic Topic, member string, generation uint64, ttl time.Duration) (Membership, error)
 	// Leave gives all partitions back.
--- a/internal/dialer/store.go
+++ b/internal/dialer/store.go
@@ -45,11 +45,6 @@
 		From      identifier.Offset   `json:"from,omitempty"`
 		WaitMs    int64               `json:"waitMs,omitempty"`
 	}
-	// RecordsReply holds records and the next offset.
-	RecordsReply struct {
-		Records []connector.KeyedRecord `json:"records"`
-		Next    identifier.Offset       `json:"next"`
-	}
 	// GroupCall names a member of a group.
 	GroupCall struct {
 		Group      string          `json:"group"`
@@ -94,10 +89,9 @@
 }
 
 // Read implements connector.Store.
-func (s *Store) Read(ctx context.Context, topic connector.Topic, part connector.Partition, from identifier.Offset, wait time.Duration) ([]connector.KeyedRecord, identifier.Offset, error) {
-	var out RecordsReply
-	err := s.call(ctx, messenger.MethodRead, PartitionCall{Topic: topic, Partition: part, From: from, WaitMs: wait.Milliseconds()}, &out)
-	return out.Records, out.Next, err
+func (s *Store) Read(ctx context.Context, topic connector.Topic, part connector.Partition, from identifier.Offset, wait time.Duration) (out connector.Reading, err error) {
+	err = s.call(ctx, messenger.MethodRead, PartitionCall{Topic: topic, Partition: part, From: from, WaitMs: wait.Milliseconds()}, &out)
+	return out, err
 }
 
 // Join implements connector.Store.
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -283,18 +283,25 @@
 
 // refresh reads the records that have come to the inbox since the last read.
 func (t *Term) refresh(ctx context.Context) error {
-	t.mu.Lock()
-	from := t.inbox
-	t.mu.Unlock()
-	records, next, err := t.store.Read(ctx, intake.TopicInbox, connector.Partition(t.cell), from, 0)
-	if err != nil {
-		return err
+	for more := true; more; {
+		news, err := t.store.Read(ctx, intake.TopicInbox, connector.Partition(t.cell), t.inboxRead(), 0)
+		if err != nil {
+			return err
+		}
+		t.receive(news.Records, news.Next)
+		t.Notify(planner.Ticked{})
+		more = news.More
 	}
-	t.receive(records, next)
-	t.Notify(planner.Ticked{})
 	return nil
 }
 
+// inboxRead returns the offset up to which the inbox was read.
+func (t *Term) inboxRead() identifier.Offset {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.inbox
+}
+
 // receive applies records of the inbox; one that is applied twice changes
 // nothing.
 func (t *Term) receive(records []connector.KeyedRecord, next identifier.Offset) {
@@ -327,20 +334,17 @@
 func (t *Term) followInbox(ctx context.Context) error {
 	source := logger.Dependency{Name: "inbox", Logger: t.logger}
 	for ctx.Err() == nil {
-		t.mu.Lock()
-		from := t.inbox
-		t.mu.Unlock()
-		records, next, err := t.store.Read(ctx, intake.TopicInbox, connector.Partition(t.cell), from, inboxWait)
+		news, err := t.store.Read(ctx, intake.TopicInbox, connector.Partition(t.cell), t.inboxRead(), inboxWait)
 		if errors.Is(err, connector.ErrExpired) {
-			records, next, err = connector.NewestAll(ctx, t.store, intake.TopicInbox, connector.Partition(t.cell))
+			news.Records, news.Next, err = connector.NewestAll(ctx, t.store, intake.TopicInbox, connector.Partition(t.cell))
 		}
 		source.Report(err)
 		if err != nil {
 			sleeper.Pause(ctx, retryPause)
 			continue
 		}
-		if len(records) > 0 {
-			t.receive(records, next)
+		if len(news.Records) > 0 {
+			t.receive(news.Records, news.Next)
 			t.Notify(planner.Ticked{})
 		}
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -288,19 +288,11 @@
 	})
 }
 
-// records are what a read returns.
-type records struct {
-	list []connector.KeyedRecord
-	next identifier.Offset
-}
-
 // Read implements connector.Store.
-func (s *Store) Read(ctx context.Context, topic connector.Topic, part connector.Partition, from identifier.Offset, wait time.Duration) ([]connector.KeyedRecord, identifier.Offset, error) {
-	out, err := relay(ctx, s, wait, func(ctx context.Context, st connector.Store) (records, error) {
-		list, next, err := st.Read(ctx, topic, part, from, wait)
-		return records{list, next}, err
+func (s *Store) Read(ctx context.Context, topic connector.Topic, part connector.Partition, from identifier.Offset, wait time.Duration) (connector.Reading, error) {
+	return relay(ctx, s, wait, func(ctx context.Context, st connector.Store) (connector.Reading, error) {
+		return st.Read(ctx, topic, part, from, wait)
 	})
-	return out.list, out.next, err
 }
 
 // Join implements connector.Store.
--- a/internal/relayer/server.go
+++ b/internal/relayer/server.go
@@ -36,9 +36,9 @@
 	messenger.MethodNewest: decoded(func(ctx context.Context, s connector.Store, c dialer.PartitionCall) (connector.KeyedPage, error) {
 		return s.Newest(ctx, c.Topic, c.Partition, c.After)
 	}),
-	messenger.MethodRead: decoded(func(ctx context.Context, s connector.Store, c dialer.PartitionCall) (dialer.RecordsReply, error) {
-		list, next, err := s.Read(ctx, c.Topic, c.Partition, c.From, time.Duration(c.WaitMs)*time.Millisecond)
-		return dialer.RecordsReply{Records: list, Next: next}, err
+	messenger.MethodRead: decoded(func(ctx context.Context, s connector.Store, c dialer.PartitionCall) (connector.Reading, error) {
+		r, err := s.Read(ctx, c.Topic, c.Partition, c.From, time.Duration(c.WaitMs)*time.Millisecond)
+		return firstOf(r, c.From), err
 	}),
 	messenger.MethodJoin: decoded(func(ctx context.Context, s connector.Store, c dialer.GroupCall) (connector.Membership, error) {
 		return s.Join(ctx, c.Group, c.Topic, c.Member, c.Generation, time.Duration(c.TTLMs)*time.Millisecond)
@@ -51,6 +51,22 @@
 	}),
 }
 
+// relayedBytes bounds the records of a read for another host: what a link of 2 Mbit/s
+// carries as JSON within half of peerTimeout.
+const relayedBytes = 36 << 10
+
+// firstOf returns the first records of a reading that may be relayed, at least one.
+func firstOf(r connector.Reading, from identifier.Offset) connector.Reading {
+	size := 0
+	for i, rec := range r.Records {
+		size += len(rec.Key) + len(rec.Value)
+		if i > 0 && size > relayedBytes {
+			return connector.Reading{Records: r.Records[:i], Next: from + identifier.Offset(i), More: true}
+		}
+	}
+	return r
+}
+
 // serveTimeout bounds a call that was made for another host, beyond its wait.
 const serveTimeout = 2 * time.Second
 
--- a/internal/simulator/store.go
+++ b/internal/simulator/store.go
@@ -261,11 +261,11 @@
 }
 
 // Read implements connector.Store.
-func (c client) Read(ctx context.Context, topic connector.Topic, part connector.Partition, from identifier.Offset, maxWait time.Duration) ([]connector.KeyedRecord, identifier.Offset, error) {
+func (c client) Read(ctx context.Context, topic connector.Topic, part connector.Partition, from identifier.Offset, maxWait time.Duration) (connector.Reading, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxWait+time.Second)
 	defer cancel()
 	if err := c.enter(ctx); err != nil {
-		return nil, 0, err
+		return connector.Reading{}, err
 	}
 	s := c.store
 	s.lock()
@@ -279,21 +279,21 @@
 		case <-changed:
 		case <-t.C:
 		case <-ctx.Done():
-			return nil, 0, errors.Mark(ctx.Err(), connector.ErrUnknown)
+			return connector.Reading{}, errors.Mark(ctx.Err(), connector.ErrUnknown)
 		}
 	}
 	s.lock()
 	defer s.unlock()
 	if s.faults.Down {
-		return nil, 0, errors.Mark(ErrDown, connector.ErrUnknown)
+		return connector.Reading{}, errors.Mark(ErrDown, connector.ErrUnknown)
 	}
 	if from < p.first {
-		return nil, 0, errors.Mark(errors.Newf("records before %d are gone", p.first), connector.ErrExpired)
+		return connector.Reading{}, errors.Mark(errors.Newf("records before %d are gone", p.first), connector.ErrExpired)
 	}
 	if from >= p.end() {
-		return nil, from, nil
+		return connector.Reading{Next: from}, nil
 	}
-	return slices.Clone(p.records[from-p.first:]), p.end(), nil
+	return connector.Reading{Records: slices.Clone(p.records[from-p.first:]), Next: p.end()}, nil
 }
 
 // Join implements connector.Store.
