The rate of answers is counted by the steady clock

A time of day that jumps back would have counted all answers of the jump as one period, so that a cut of the window left room for many times what was carried. Found by reading; no run showed it.

--- a/internal/limiter/window.go
+++ b/internal/limiter/window.go
@@ -122,6 +122,9 @@
 // rate counts answers in the last few periods.
 type rate struct {
 	counts [ratePeriods]int
+	// began is when the first answer came; periods are numbered from there by the steady
+	// clock, since the time of day may jump.
+	began time.Time
 	// latest is the number of the period that answers count for now.
 	latest int64
 }
@@ -133,7 +136,10 @@
 
 // advance forgets periods that are over for long.
 func (r *rate) advance(now time.Time) {
-	period := now.UnixNano() / int64(ratePeriod)
+	if r.began.IsZero() {
+		r.began = now
+	}
+	period := int64(now.Sub(r.began) / ratePeriod)
 	if period-r.latest >= ratePeriods {
 		r.counts = [ratePeriods]int{}
 		r.latest = period
