--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -44,6 +44,8 @@
 	own    connector.Store
 	rpc    *messenger.Client
 	source logger.Dependency
+	// link is what this host's link carries, in bytes a second; zero is plenty.
+	link int
 
 	mu    sync.Mutex
 	peers func() []string
@@ -56,14 +58,25 @@
 	closed   chan struct{}
 }
 
+// Option changes a new store.
+type Option func(*Store)
+
+// WithLink sets what this host's link carries, in bytes a second: large appends through
+// other hosts get the time that they need.
+func WithLink(bytesPerSecond int) Option { return func(s *Store) { s.link = bytesPerSecond } }
+
 // New returns a store that this host reaches by own; it has no peers yet.
-func New(own connector.Store, l *zap.Logger) *Store {
-	return &Store{
+func New(own connector.Store, l *zap.Logger, opts ...Option) *Store {
+	s := &Store{
 		own: own, rpc: messenger.NewClient(messenger.WithSilentDropped()),
 		source:   logger.Dependency{Name: "store, by this host itself", Logger: l},
 		peers:    func() []string { return nil },
 		onDetour: make(chan struct{}), closed: make(chan struct{}),
 	}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
 }
 
 // UsePeers sets where the addresses of the other hosts come from.
@@ -95,7 +108,8 @@
 }
 
 // relay makes a call here and, if that fails or takes long, through other hosts.
-// Wait is how long the store may wait for records before it answers.
+// Wait is how long the call may take beyond the usual: the store may wait for records, or
+// the link carry many.
 func relay[T any](ctx context.Context, s *Store, wait time.Duration, call func(context.Context, connector.Store) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -278,7 +292,23 @@
 
 // Append implements connector.Store.
 func (s *Store) Append(ctx context.Context, a connector.KeyedAppend) (identifier.Offset, error) {
-	return relay(ctx, s, 0, func(ctx context.Context, st connector.Store) (identifier.Offset, error) { return st.Append(ctx, a) })
+	return relay(ctx, s, s.transferTime(a), func(ctx context.Context, st connector.Store) (identifier.Offset, error) { return st.Append(ctx, a) })
+}
+
+// jsonOverhead is how much longer bytes are as JSON.
+const jsonOverhead = 4. / 3
+
+// transferTime returns how long the records of an append take to another host and on to
+// the store, if that host's link is no faster than this one's.
+func (s *Store) transferTime(a connector.KeyedAppend) time.Duration {
+	if s.link <= 0 {
+		return 0
+	}
+	size := 0
+	for _, r := range a.Records {
+		size += len(r.Key) + len(r.Value)
+	}
+	return time.Duration((1 + jsonOverhead) * float64(size) / float64(s.link) * float64(time.Second))
 }
 
 // Newest implements connector.Store.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -188,3 +188,43 @@
 		t.Errorf("error %v, peers asked %d times more", err, asked-before)
 	}
 }
+
+// narrowLink is a store behind a link that carries so many bytes a second.
+type narrowLink struct {
+	connector.Store
+	bytesPerSecond int
+}
+
+// Append implements connector.Store.
+func (l narrowLink) Append(ctx context.Context, a connector.KeyedAppend) (identifier.Offset, error) {
+	size := 0
+	for _, r := range a.Records {
+		size += len(r.Value)
+	}
+	select {
+	case <-time.After(time.Duration(size) * time.Second / time.Duration(l.bytesPerSecond)):
+		return l.Store.Append(ctx, a)
+	case <-ctx.Done():
+		return 0, errors.Mark(ctx.Err(), connector.ErrUnknown)
+	}
+}
+
+// TestLargeAppendsPassThroughOtherHosts checks that an append which the links to another
+// host and on to the store carry slowly gets the time for it.
+func TestLargeAppendsPassThroughOtherHosts(t *testing.T) {
+	const link, size = 250_000, 75_000
+	store := simulator.NewStore(1, 1)
+	store.SetFaults(simulator.StoreFaults{Refused: map[string]bool{"self": true}})
+	// The link to the other host and that from there to the store carry the same bytes.
+	address := serve(t, narrowLink{store.Client("p1"), link / 2})
+	s := relayer.New(store.Client("self"), zap.NewNop(), relayer.WithLink(link))
+	defer s.Close()
+	s.UsePeers(func() []string { return []string{address} })
+	// The store of a holder's term waits so long for one append.
+	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+	defer cancel()
+	_, err := s.Append(ctx, connector.KeyedAppend{Topic: "work", Records: []connector.KeyedRecord{{Key: "k", Value: make([]byte, size)}}})
+	if err != nil {
+		t.Error(err)
+	}
+}
