Starts and stops share a window; held stops are sent before starts

Cause: stops had a window of their own. At a holder whose processor is full every answer is late; 100 evictions a second say little of what is carried, so that this window fell to 16, and a stop that found it full waited for the next look that showed its run and then for luck. The class is that of the window of starts. Ruled out: the number of calls (TestCancelledJobsStopUnderOverload passed); to send held stops within a second whatever the window says (100 leases lapsed in a review's test).

Now both share one window, which knows what is carried by the starts, stops first, held ones in turn. A cut leaves what is answered in 0.3 s, as orders that take so long are not repeated. TestCancelledRunsStopAlthoughAnswersAreLate failed before: 453 of 600 runs went on after 3 s. TestEachStartLeavesTheWindowOnce now counts starts and stops apart, and both have to agree.

--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -79,8 +79,8 @@
 func loadFields(before, now planner.Stats) []zap.Field {
 	return []zap.Field{
 		zap.Int("starts", now.Starts-before.Starts), zap.Int("startsLate", now.StartsLate-before.StartsLate),
-		zap.Int("startsUnderWay", now.StartsUnderWay), zap.Int("startsLimit", now.StartsLimit),
-		zap.Int("unsentClaims", now.UnsentClaims), zap.Int("heldClaims", now.HeldClaims),
+		zap.Int("ordersUnderWay", now.OrdersUnderWay), zap.Int("ordersLimit", now.OrdersLimit),
+		zap.Int("unsentClaims", now.UnsentClaims), zap.Int("heldClaims", now.HeldClaims), zap.Int("heldStops", now.HeldStops),
 		zap.Duration("oldestReadyMs", now.OldestReady),
 		zap.Int("looks", now.Looks-before.Looks), zap.Int("listedRuns", now.ListedRuns-before.ListedRuns),
 	}
--- a/internal/limiter/window.go
+++ b/internal/limiter/window.go
@@ -23,8 +23,9 @@
 	// orders to workers count as unanswered.
 	LateAnswer = 200 * time.Millisecond
 	// carriedFor is for how long a window allows the calls that are answered in each
-	// moment, whatever is late: answers then take three quarters of LateAnswer.
-	carriedFor = LateAnswer * 3 / 4
+	// moment, whatever is late: three quarters of the time after which orders count as
+	// unanswered.
+	carriedFor = LateAnswer * 3 / 2
 	// ratePeriod is the time over which answers are counted, and ratePeriods how many
 	// counts tell the rate at which calls are carried.
 	ratePeriod  = 250 * time.Millisecond
--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -76,13 +76,13 @@
 
 // startClaimed sends the start of a run whose claim is stored, if that is still
 // wanted. While the directory is too old the claim is held, since its data centre may
-// have been evacuated meanwhile, and while as many starts are under way as are answered
+// have been evacuated meanwhile, and while as many orders are under way as are answered
 // in time. Members of a gang only run together.
 func (p *Planner) startClaimed(r *run) {
 	if r.phase != runClaimed || r.worker.runs[r.id] != r {
 		return
 	}
-	if !r.unwanted && (!p.fresh() || p.starts.Full() && !r.task.group.step.Gang) {
+	if !r.unwanted && (!p.fresh() || p.orders.Full() && !r.task.group.step.Gang) {
 		p.heldClaims = append(p.heldClaims, r)
 		return
 	}
@@ -104,7 +104,7 @@
 // startHeld sends the starts of held claims, the most urgent first. Their workers were
 // told nothing, so that the claims stay good.
 func (p *Planner) startHeld() {
-	if len(p.heldClaims) == 0 || !p.fresh() || p.starts.Full() {
+	if len(p.heldClaims) == 0 || !p.fresh() || p.orders.Full() {
 		return
 	}
 	held := p.heldClaims
--- a/internal/planner/congestion_test.go
+++ b/internal/planner/congestion_test.go
@@ -62,6 +62,11 @@
 	saved   time.Time
 	// appends is how long the store takes to store a batch.
 	appends time.Duration
+	// occupied is how long an order occupies the link.
+	occupied time.Duration
+	// delay is how much later than its order was carried out an answer comes.
+	delay   time.Duration
+	delayed []delayedEvent
 	// lost are workers that no order reaches.
 	lost map[identifier.Worker]bool
 	// lapsed counts runs that ended with a lease.
@@ -78,7 +83,7 @@
 		entries = append(entries, e)
 	}
 	b := newBench(t, entries...)
-	l := &link{b: b, began: b.now, workers: map[identifier.Worker]*linkWorker{}, free: b.now, saved: b.now, appends: saveTime, firstStart: map[identifier.Job]time.Duration{}, lapsedOf: map[identifier.Job]int{}}
+	l := &link{b: b, began: b.now, workers: map[identifier.Worker]*linkWorker{}, free: b.now, saved: b.now, appends: saveTime, occupied: linkTime, firstStart: map[identifier.Job]time.Duration{}, lapsedOf: map[identifier.Job]int{}}
 	for _, e := range entries {
 		l.workers[e.ID] = &linkWorker{runs: map[connector.RunID]struct{}{}, past: map[connector.RunID]struct{}{}}
 	}
@@ -92,7 +97,7 @@
 func (l *link) run(d time.Duration) {
 	for end := l.b.now.Add(d); l.b.now.Before(end); {
 		var events []Event
-		events = append(events, l.deliver()...)
+		events = append(events, l.arrive(l.deliver())...)
 		events = append(events, l.answerLooks()...)
 		events = append(events, l.expire()...)
 		l.lapse()
@@ -106,6 +111,25 @@
 	}
 }
 
+// delayedEvent is an answer on its way back.
+type delayedEvent struct {
+	event Event
+	due   time.Time
+}
+
+// arrive returns the answers that have come back, with those of orders carried out now.
+func (l *link) arrive(answers []Event) []Event {
+	for _, e := range answers {
+		l.delayed = append(l.delayed, delayedEvent{e, l.b.now.Add(l.delay)})
+	}
+	var events []Event
+	for len(l.delayed) > 0 && !l.delayed[0].due.After(l.b.now) {
+		events = append(events, l.delayed[0].event)
+		l.delayed = l.delayed[1:]
+	}
+	return events
+}
+
 func (l *link) send() {
 	for _, c := range l.b.commands {
 		l.queue = append(l.queue, linkOrder{command: c, sent: l.b.now})
@@ -119,7 +143,7 @@
 	for len(l.queue) > 0 && !l.free.After(l.b.now) {
 		o := l.queue[0]
 		l.queue = l.queue[1:]
-		l.free = later(l.free, l.b.now.Add(-tickTime)).Add(linkTime)
+		l.free = later(l.free, l.b.now.Add(-tickTime)).Add(l.occupied)
 		events = append(events, l.carryOut(o)...)
 	}
 	return events
@@ -355,3 +379,31 @@
 		})
 	}
 }
+
+// TestCancelledRunsStopAlthoughAnswersAreLate checks that the runs of a cancelled job are
+// stopped within the users' shortest bound while every answer comes late, for reasons that
+// have nothing to do with the number of stops.
+func TestCancelledRunsStopAlthoughAnswersAreLate(t *testing.T) {
+	const workers, tasks, cancelBound = 40, 600, 3 * time.Second
+	const id identifier.Job = "00000000000000aa"
+	l := newLink(t, workers)
+	l.occupied = time.Millisecond
+	l.run(time.Second)
+	l.b.submit(id, submitter.Step{Count: tasks, Size: small, LongRunning: true})
+	l.send()
+	l.run(10 * time.Second)
+	if n := l.running(); n != tasks {
+		t.Fatalf("%d of %d tasks run", n, tasks)
+	}
+	l.delay = 220 * time.Millisecond
+	l.run(time.Second)
+	l.b.update(0, JobCancelled{ID: id})
+	l.send()
+	l.run(cancelBound)
+	if n := l.running(); n > 0 {
+		t.Errorf("%d of %d runs go on %v after their job was cancelled", n, tasks, cancelBound)
+	}
+	if l.lapsed > 0 {
+		t.Errorf("%d runs lapsed", l.lapsed)
+	}
+}
--- a/internal/planner/looks_bench_test.go
+++ b/internal/planner/looks_bench_test.go
@@ -97,7 +97,7 @@
 		}}}, Queue: queueConfig})
 		for range 8 {
 			p.Update(now)
-			p.starts, p.unsent = limiter.NewWindow(), 0
+			p.orders, p.unsent = limiter.NewWindow(), 0
 		}
 	}
 	const id identifier.Job = "00000000000000aa"
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -148,56 +148,6 @@
 	}
 }
 
-// stop sends a stop; the run's room stays taken until its end is listed. Beyond the
-// window of stops, the next look that shows the run sends it.
-func (p *Planner) stop(r *run) {
-	if r.phase == runActive {
-		r.phase = runStopping
-	}
-	at := workerRun{r.worker.id, r.id}
-	if _, sent := p.stopsSent[at]; !sent {
-		if p.stops.Full() {
-			r.stopSent = false
-			return
-		}
-		p.stops.Enter()
-	}
-	p.stopsSent[at] = p.now
-	r.stopSent = true
-	p.emit(StopRun{To: r.worker.target(), Run: r.id, Epoch: p.epochOf(r.worker)})
-}
-
-// stopEnds counts a stop out and learns from how long its answer took.
-func (p *Planner) stopEnds(e StopAnswered) {
-	at := workerRun{e.Worker, e.Run}
-	sent, ok := p.stopsSent[at]
-	if !ok {
-		return
-	}
-	delete(p.stopsSent, at)
-	if e.Err == nil {
-		p.stops.Answered(p.now, sent)
-	} else {
-		p.stops.Missing(p.now, sent)
-	}
-	p.stops.Leave()
-}
-
-func (p *Planner) stopAnswered(e StopAnswered) {
-	p.stopEnds(e)
-	r := p.runAt(e.Worker, e.Run)
-	if r == nil {
-		return
-	}
-	r.stopSent = false
-	w := r.worker
-	if e.Err == nil {
-		w.heard(p.now, e.Answer.Clock)
-		r.stopSent = e.Answer.Verdict == connector.VerdictOK
-	}
-	w.nextHold = p.now
-}
-
 // workerReplaced handles a worker whose address belongs to another one: it has
 // ended, and its runs with it.
 func (p *Planner) workerReplaced(w *worker) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -101,12 +101,9 @@
 	// questions counts those to the adviser that are under way.
 	questions int
 
-	// starts bounds those that are under way.
-	starts *limiter.Window
-
-	// stops bounds those that are under way; stopsSent tells when each was sent.
-	stops     *limiter.Window
-	stopsSent map[workerRun]time.Time
+	// orders bounds the starts and stops that are under way.
+	orders *limiter.Window
+	stops  stopQueue
 
 	counts counts
 
@@ -120,7 +117,7 @@
 	// round is being stored, in one batch or several.
 	round saveRound
 	// unsent counts the claims whose starts are not sent. heldClaims are those which are
-	// stored and wait for a fresh directory or for the window of starts.
+	// stored and wait for a fresh directory or for the window of orders.
 	unsent     int
 	heldClaims []*run
 	ends       map[*worker]identifier.EndNumber
@@ -165,9 +162,8 @@
 		neighbours:        map[imagePair]int{},
 		servingNumbers:    map[identifier.Image]int{},
 		beliefs:           map[identifier.Image][]belief{},
-		starts:            limiter.NewWindow(),
-		stops:             limiter.NewWindow(),
-		stopsSent:         map[workerRun]time.Time{},
+		orders:            limiter.NewWindow(),
+		stops:             stopQueue{sent: map[workerRun]time.Time{}},
 	}
 	for _, o := range opts {
 		o(p)
@@ -206,6 +202,7 @@
 	p.Inform(now, events...)
 	clear(p.beliefs)
 	p.profile.Enter(profiler.PartUpkeep)
+	p.sendHeldStops()
 	p.startHeld()
 	p.activateDue()
 	p.expireSilentWorkers()
--- a/internal/planner/query.go
+++ b/internal/planner/query.go
@@ -56,9 +56,10 @@
 	// Starts counts the starts that were sent, StartsLate those that were answered late or
 	// not at all, Looks the answers of workers and ListedRuns the runs that these listed.
 	Starts, StartsLate, Looks, ListedRuns int
-	// StartsUnderWay of at most StartsLimit wait for an answer; UnsentClaims are places
-	// whose starts are not sent yet, HeldClaims those of them that are stored.
-	StartsUnderWay, StartsLimit, UnsentClaims, HeldClaims int
+	// OrdersUnderWay, starts and stops, of at most OrdersLimit wait for an answer;
+	// UnsentClaims are places whose starts are not sent yet, HeldClaims those of them that
+	// are stored, HeldStops are stops that wait.
+	OrdersUnderWay, OrdersLimit, UnsentClaims, HeldClaims, HeldStops int
 	// OldestReady is how long a task that waits for a place has been ready at most.
 	OldestReady time.Duration
 }
@@ -68,7 +69,7 @@
 	s := Stats{
 		Jobs: len(p.jobs), Workers: len(p.workers),
 		Starts: p.counts.starts, StartsLate: p.counts.startsLate, Looks: p.counts.looks, ListedRuns: p.counts.listedRuns,
-		StartsUnderWay: p.starts.Used(), StartsLimit: p.starts.Limit(), UnsentClaims: p.unsent, HeldClaims: len(p.heldClaims),
+		OrdersUnderWay: p.orders.Used(), OrdersLimit: p.orders.Limit(), UnsentClaims: p.unsent, HeldClaims: len(p.heldClaims), HeldStops: len(p.stops.held),
 	}
 	for j := range p.waiting {
 		s.OldestReady = max(s.OldestReady, p.now.Sub(j.readySince()))
--- /dev/null
+++ b/internal/planner/stopper.go
@@ -0,0 +1,92 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+)
+
+// stopQueue holds the stops beyond the window of orders. It answers waves of cancellations
+// and evictions, which would make each other and all other orders late. They are sent
+// before starts, the oldest first: runs of cancelled jobs have to be gone by a time. Starts
+// and stops share a window, since the same processor and links carry them: a window of
+// stops alone, which are few, would say little of what is carried.
+type stopQueue struct {
+	// sent tells when each stop that is under way was sent.
+	sent map[workerRun]time.Time
+	held []*run
+}
+
+// stop sends a stop, or holds it until it may be sent; the run's room stays taken until its
+// end is listed.
+func (p *Planner) stop(r *run) {
+	if r.phase == runActive {
+		r.phase = runStopping
+	}
+	if _, again := p.stops.sent[workerRun{r.worker.id, r.id}]; again || !p.stopsFull() {
+		p.sendStop(r)
+		return
+	}
+	r.stopSent = false
+	if !r.stopHeld {
+		r.stopHeld = true
+		p.stops.held = append(p.stops.held, r)
+	}
+}
+
+// stopsFull reports whether stops take all of the window, so that more have to wait.
+func (p *Planner) stopsFull() bool { return len(p.stops.sent) >= p.orders.Limit() }
+
+func (p *Planner) sendStop(r *run) {
+	at := workerRun{r.worker.id, r.id}
+	if _, again := p.stops.sent[at]; !again {
+		p.orders.Enter()
+	}
+	p.stops.sent[at] = p.now
+	r.stopSent = true
+	p.emit(StopRun{To: r.worker.target(), Run: r.id, Epoch: p.epochOf(r.worker)})
+}
+
+// sendHeldStops sends the held stops for which there is room.
+func (p *Planner) sendHeldStops() {
+	n := 0
+	for ; n < len(p.stops.held) && !p.stopsFull(); n++ {
+		r := p.stops.held[n]
+		r.stopHeld = false
+		if r.worker.runs[r.id] == r && !r.stopSent {
+			p.sendStop(r)
+		}
+	}
+	p.stops.held = p.stops.held[n:]
+}
+
+// stopEnds counts a stop out and learns from how long its answer took.
+func (p *Planner) stopEnds(e StopAnswered) {
+	at := workerRun{e.Worker, e.Run}
+	sent, ok := p.stops.sent[at]
+	if !ok {
+		return
+	}
+	delete(p.stops.sent, at)
+	if e.Err == nil {
+		p.orders.Answered(p.now, sent)
+	} else {
+		p.orders.Missing(p.now, sent)
+	}
+	p.orders.Leave()
+}
+
+func (p *Planner) stopAnswered(e StopAnswered) {
+	p.stopEnds(e)
+	r := p.runAt(e.Worker, e.Run)
+	if r == nil {
+		return
+	}
+	r.stopSent = false
+	w := r.worker
+	if e.Err == nil {
+		w.heard(p.now, e.Answer.Clock)
+		r.stopSent = e.Answer.Verdict == connector.VerdictOK
+	}
+	w.nextHold = p.now
+}
--- a/internal/planner/window.go
+++ b/internal/planner/window.go
@@ -1,6 +1,6 @@
 package planner
 
-// unsentClaims is how many claims may wait for the store or for the window of starts:
+// unsentClaims is how many claims may wait for the store or for the window of orders:
 // those of 0.25 s, the answer of a slow store, at 1,000 starts a second. A window that is
 // larger needs twice as many as it allows.
 const unsentClaims = 256
@@ -8,7 +8,7 @@
 // claimsFull reports whether no more tasks should be claimed. Under a burst, tasks beyond
 // that stay ready, the most urgent first in turn.
 func (p *Planner) claimsFull() bool {
-	return p.unsent >= max(unsentClaims, 2*p.starts.Limit())
+	return p.unsent >= max(unsentClaims, 2*p.orders.Limit())
 }
 
 // claimBegins counts a run whose start is not sent yet.
@@ -30,7 +30,7 @@
 	p.claimEnds(r)
 	if !r.underWay {
 		r.underWay = true
-		p.starts.Enter()
+		p.orders.Enter()
 	}
 }
 
@@ -38,7 +38,7 @@
 func (p *Planner) startEnds(r *run) {
 	if r.underWay {
 		r.underWay = false
-		p.starts.Leave()
+		p.orders.Leave()
 	}
 }
 
@@ -46,14 +46,14 @@
 func (p *Planner) observeStart(r *run, answered bool) {
 	late, cut := true, false
 	if answered {
-		late, cut = p.starts.Answered(p.now, r.sentAt)
+		late, cut = p.orders.Answered(p.now, r.sentAt)
 	} else {
-		cut = p.starts.Missing(p.now, r.sentAt)
+		cut = p.orders.Missing(p.now, r.sentAt)
 	}
 	if late {
 		p.counts.startsLate++
 	}
 	if cut {
-		p.log.StartsLimited(p.starts.Limit(), p.now.Sub(r.sentAt))
+		p.log.StartsLimited(p.orders.Limit(), p.now.Sub(r.sentAt))
 	}
 }
--- a/internal/planner/window_test.go
+++ b/internal/planner/window_test.go
@@ -11,9 +11,9 @@
 	"github.com/balsamcove/balsamcove/pkg/submitter"
 )
 
-// startsUsed returns how many starts the window counts as under way.
-func startsUsed(p *Planner) int {
-	return int(reflect.ValueOf(p.starts).Elem().FieldByName("used").Int())
+// ordersUsed returns how many orders the window counts as under way.
+func ordersUsed(p *Planner) int {
+	return int(reflect.ValueOf(p.orders).Elem().FieldByName("used").Int())
 }
 
 // runsIn returns how many runs are in a phase.
@@ -44,9 +44,13 @@
 			for i := range steps {
 				ids = append(ids, identifier.Job(fmt.Sprintf("%016x", i)))
 				l.disturb(rnd, ids)
-				if used, want := startsUsed(l.b.p), runsIn(l.b.p, runStarting); used != want {
+				stops := len(l.b.p.stops.sent)
+				if used, want := ordersUsed(l.b.p)-stops, runsIn(l.b.p, runStarting); used != want {
 					t.Fatalf("step %d: the window counts %d starts, %d are under way", i, used, want)
 				}
+				if under := l.stopsUnderWay(); stops > under {
+					t.Fatalf("step %d: the window counts %d stops, %d are under way", i, stops, under)
+				}
 				if unsent, want := l.b.p.unsent, runsIn(l.b.p, runClaimed); unsent != want {
 					t.Fatalf("step %d: %d claims are counted, %d are not sent", i, unsent, want)
 				}
@@ -58,14 +62,28 @@
 				l.send()
 			}
 			l.run(40 * time.Second)
-			if used := startsUsed(l.b.p); used != 0 || len(l.b.p.heldClaims) != 0 || l.b.p.unsent != 0 {
-				t.Fatalf("the window counts %d starts, %d claims are held, %d not sent after all jobs were cancelled",
-					used, len(l.b.p.heldClaims), l.b.p.unsent)
+			if used := ordersUsed(l.b.p); used != 0 || len(l.b.p.heldClaims) != 0 || l.b.p.unsent != 0 || len(l.b.p.stops.held) != 0 {
+				t.Fatalf("the window counts %d orders, %d claims are held, %d not sent, %d stops held after all jobs were cancelled",
+					used, len(l.b.p.heldClaims), l.b.p.unsent, len(l.b.p.stops.held))
 			}
 		})
 	}
 }
 
+// stopsUnderWay returns how many runs have a stop on the link or on its way back, as the
+// link sees it.
+func (l *link) stopsUnderWay() int {
+	runs := map[workerRun]struct{}{}
+	for i := range len(l.queue) + len(l.silent) {
+		if o := l.underWay(i); !o.expired {
+			if c, ok := o.command.(StopRun); ok {
+				runs[workerRun{c.To.ID, c.Run}] = struct{}{}
+			}
+		}
+	}
+	return len(runs)
+}
+
 // disturb submits the last of some jobs and lets something go wrong.
 func (l *link) disturb(rnd *rand.Rand, ids []identifier.Job) {
 	l.b.submit(ids[len(ids)-1],
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -42,14 +42,16 @@
 	// sentAt is when the last start was sent.
 	sentAt time.Time
 	// unsent is set while the run counts as a claim whose start is not sent, underWay
-	// while it counts in the window of starts.
+	// while it counts in the window of orders.
 	unsent, underWay bool
 	// inherited is set if an earlier holder started the run, so that it is not known
 	// how long it has run.
 	inherited bool
 	// unwanted is set once the run has to be stopped.
 	unwanted bool
-	stopSent bool
+	// stopSent is set while a stop is under way or was carried out, stopHeld while one waits
+	// for the window of stops.
+	stopSent, stopHeld bool
 	// listedIn is the number of the last look that listed the run.
 	listedIn int
 	percent  int
