A choice of places looks only at workers that are usable

Cause: under a backlog of 10,000 ready tasks a quarter of the time for places asked for each worker and choice whether its data centre is evacuated. The pass asks once now. No decision changes.

--- a/internal/planner/choice.go
+++ b/internal/planner/choice.go
@@ -52,7 +52,8 @@
 	placesPerTask = 4
 )
 
-// newChoice finds the places for tasks like one of a step.
+// newChoice finds the places for tasks like one of a step, on the workers that were usable
+// when the pass began.
 func (p *Planner) newChoice(t *task, d demand) *choice {
 	c := &choice{demand: d}
 	if d.kind == loadScavenger {
@@ -61,11 +62,12 @@
 	enough := enoughPlaces + placesPerTask*t.group.ready
 	if d.kind == loadServing || t.group.step.DataRack != "" {
 		// Images that serve are packed, and data are in one rack.
-		enough = len(p.list)
+		enough = len(p.full.usable)
 	}
-	for i := 0; i < len(p.list) && len(c.places) < enough; i++ {
+	for i := 0; i < len(p.full.usable) && len(c.places) < enough; i++ {
 		p.next++
-		if w := p.list[p.next%len(p.list)]; p.obstacleTo(t, w, d) == obstacleNone {
+		w := p.full.usable[p.next%len(p.full.usable)]
+		if w.entry.Service == d.service && p.obstacleAtUsable(t, w, d) == obstacleNone {
 			c.places = append(c.places, place{w, p.score(t.group.step, w, d.kind, c.quiet)})
 		}
 	}
--- a/internal/planner/looks_bench_test.go
+++ b/internal/planner/looks_bench_test.go
@@ -104,6 +104,7 @@
 	p.Inform(now, JobSubmitted{Job: submitter.Job{ID: id, Queue: queue, Steps: []submitter.Step{{Count: 30, Size: small, Scavenger: true, Image: "fills"}}}, Queue: queueConfig})
 	t := &p.jobs[id].occurrences[0][0].tasks[0]
 	d := p.demandOf(t, time.Second)
+	p.beginPass()
 	for b.Loop() {
 		clear(p.beliefs)
 		if c := p.newChoice(t, d); len(c.places) > 0 {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -86,8 +86,10 @@
 // fullSizes remembers sizes for which no room was found, and the most that any worker
 // had left when the pass began: under overload most tasks need no look at the workers.
 type fullSizes struct {
-	sizes map[demand][]fullSize
-	most  map[identifier.Service]mostRoom
+	// usable are the workers that new runs may be sent to.
+	usable []*worker
+	sizes  map[demand][]fullSize
+	most   map[identifier.Service]mostRoom
 	// revisit is for how long a size counts as full to scavengers. To other tasks it
 	// does for one pass.
 	revisit time.Duration
@@ -120,10 +122,12 @@
 	}
 	f.revisit = min(time.Duration(len(p.workers)*(len(f.sizes)+1))*revisitPerLook, maxRevisit)
 	f.most = map[identifier.Service]mostRoom{}
+	f.usable = f.usable[:0]
 	for _, w := range p.list {
 		if !p.usable(w) {
 			continue
 		}
+		f.usable = append(f.usable, w)
 		m := f.most[w.entry.Service]
 		m.room = m.room.Max(w.room())
 		m.spare = max(m.spare, w.spare())
@@ -248,6 +252,11 @@
 	if o := p.obstacleAt(w); o != obstacleNone {
 		return o
 	}
+	return p.obstacleAtUsable(t, w, d)
+}
+
+// obstacleAtUsable says what keeps a task from a usable worker of its service.
+func (p *Planner) obstacleAtUsable(t *task, w *worker, d demand) obstacle {
 	step := t.group.step
 	size := step.Size
 	switch {
