--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -239,8 +239,8 @@
 		"no offer":             {messenger.MethodOffer, "x"},
 		"offer of nobody":      {messenger.MethodOffer, Offer{Workers: 3}},
 		"offer of nothing":     {messenger.MethodOffer, Offer{Name: "n"}},
-		"answers before offer": {messenger.MethodAnswers, batch{Content: []byte{0xff}}},
-		"orders to a holder":   {messenger.MethodOrders, batch{}},
+		"answers before offer": {messenger.MethodAnswers, beat{Content: []byte{0xff}}},
+		"orders to a holder":   {messenger.MethodOrders, beat{}},
 	} {
 		var refusal *refuser.Refusal
 		if err := peer.Call(t.Context(), call.method, call.params, nil); !errors.As(err, &refusal) {
@@ -250,7 +250,7 @@
 	if err := peer.Call(t.Context(), messenger.MethodOffer, Offer{"bad", "b", 1}, nil); err != nil {
 		t.Fatal(err)
 	}
-	if err := peer.Call(t.Context(), messenger.MethodAnswers, batch{Content: []byte{0xff}}, nil); err == nil {
+	if err := peer.Call(t.Context(), messenger.MethodAnswers, beat{Content: []byte{0xff}}, nil); err == nil {
 		t.Error("answers that cannot be read are taken")
 	}
 	for _, method := range []messenger.Method{messenger.MethodAnswers, messenger.MethodOrders, "unknown"} {
--- a/internal/carrier/host.go
+++ b/internal/carrier/host.go
@@ -172,7 +172,7 @@
 	return nil
 }
 
-func (s *service) beatOnce(ctx context.Context, peer messenger.Peer, m batch) error {
+func (s *service) beatOnce(ctx context.Context, peer messenger.Peer, m beat) error {
 	ctx, cancel := context.WithTimeout(ctx, silence)
 	defer cancel()
 	return peer.Call(ctx, messenger.MethodAnswers, m, nil)
--- a/internal/carrier/pool.go
+++ b/internal/carrier/pool.go
@@ -255,7 +255,7 @@
 	if !ok {
 		return refuser.New(refuser.CodeConflict, "no offer was made over this connection")
 	}
-	var in batch
+	var in beat
 	if err := json.Unmarshal(params, &in); err != nil {
 		return refuser.New(refuser.CodeInvalid, "%v", err)
 	}
--- a/internal/carrier/wire.go
+++ b/internal/carrier/wire.go
@@ -21,9 +21,9 @@
 	Workers int `json:"workers"`
 }
 
-// batch is the parameter of a beat: its content as CBOR, and when it was sent by the
-// sender's clock of uptime.
-type batch struct {
+// beat is the parameter of the call by which a host shows that it is there: answers as
+// CBOR, and when it was sent by the sender's clock of uptime.
+type beat struct {
 	SentAt  time.Duration `json:"sentAt"`
 	Content []byte        `json:"content"`
 }
@@ -203,10 +203,10 @@
 	}
 }
 
-// encode returns a message sent at an uptime.
-func encode(sentAt time.Duration, content any) (batch, error) {
+// encode returns a beat sent at an uptime.
+func encode(sentAt time.Duration, content any) (beat, error) {
 	data, err := cbor.Marshal(content)
-	return batch{SentAt: sentAt, Content: data}, errors.Wrap(err, "encode batch")
+	return beat{SentAt: sentAt, Content: data}, errors.Wrap(err, "encode beat")
 }
 
 // encodeMessage returns a batch sent at an uptime.
