--- a/internal/connector/store.go
+++ b/internal/connector/store.go
@@ -32,6 +32,14 @@
 	Offset identifier.Offset `json:"offset"`
 }
 
+// Bytes returns the bytes of the keys and values of records.
+func Bytes(records ...KeyedRecord) (n int) {
+	for _, r := range records {
+		n += len(r.Key) + len(r.Value)
+	}
+	return n
+}
+
 // KeyedAppend adds records to one partition, all or none of them.
 type KeyedAppend struct {
 	Topic     Topic         `json:"topic"`
--- a/internal/dispatcher/saver.go
+++ b/internal/dispatcher/saver.go
@@ -127,7 +127,7 @@
 	})
 	took := time.Since(began)
 	if err == nil {
-		t.load.stored(len(records), sizeOf(records), took)
+		t.load.stored(len(records), connector.Bytes(records...), took)
 	}
 	if took > slowAppend {
 		t.logger.Warn("append took long", zap.Duration("took", took), zap.Int("records", len(records)), logger.Err(err))
@@ -141,11 +141,3 @@
 func sortByOffset(records []connector.KeyedRecord) {
 	sort.Slice(records, func(i, k int) bool { return records[i].Offset < records[k].Offset })
 }
-
-// sizeOf returns the bytes of records.
-func sizeOf(records []connector.KeyedRecord) (n int) {
-	for _, r := range records {
-		n += len(r.Key) + len(r.Value)
-	}
-	return n
-}
--- a/internal/planner/stopper.go
+++ b/internal/planner/stopper.go
@@ -68,11 +68,7 @@
 		return
 	}
 	delete(p.stops.sent, at)
-	if e.Err == nil {
-		p.orders.Answered(p.now, sent)
-	} else {
-		p.orders.Missing(p.now, sent)
-	}
+	p.observeOrder(sent, e.Err == nil)
 	p.orders.Leave()
 }
 
--- a/internal/planner/window.go
+++ b/internal/planner/window.go
@@ -1,5 +1,7 @@
 package planner
 
+import "time"
+
 // unsentClaims is how many claims may wait for the store or for the window of orders:
 // those of 0.25 s, the answer of a slow store, at 1,000 starts a second. A window that is
 // larger needs twice as many as it allows.
@@ -44,16 +46,22 @@
 
 // observeStart learns from how long the answer to a start took.
 func (p *Planner) observeStart(r *run, answered bool) {
+	if p.observeOrder(r.sentAt, answered) {
+		p.counts.startsLate++
+	}
+}
+
+// observeOrder learns from how long the answer to an order took, and reports whether it
+// came late or not at all.
+func (p *Planner) observeOrder(sent time.Time, answered bool) (late bool) {
 	late, cut := true, false
 	if answered {
-		late, cut = p.orders.Answered(p.now, r.sentAt)
+		late, cut = p.orders.Answered(p.now, sent)
 	} else {
-		cut = p.orders.Missing(p.now, r.sentAt)
-	}
-	if late {
-		p.counts.startsLate++
+		cut = p.orders.Missing(p.now, sent)
 	}
 	if cut {
-		p.log.StartsLimited(p.orders.Limit(), p.now.Sub(r.sentAt))
+		p.log.StartsLimited(p.orders.Limit(), p.now.Sub(sent))
 	}
+	return late
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -304,11 +304,7 @@
 	if s.link <= 0 {
 		return 0
 	}
-	size := 0
-	for _, r := range a.Records {
-		size += len(r.Key) + len(r.Value)
-	}
-	return time.Duration((1 + jsonOverhead) * float64(size) / float64(s.link) * float64(time.Second))
+	return time.Duration((1 + jsonOverhead) * float64(connector.Bytes(a.Records...)) / float64(s.link) * float64(time.Second))
 }
 
 // Newest implements connector.Store.
--- a/internal/relayer/server.go
+++ b/internal/relayer/server.go
@@ -59,7 +59,7 @@
 func firstOf(r connector.Reading, from identifier.Offset) connector.Reading {
 	size := 0
 	for i, rec := range r.Records {
-		size += len(rec.Key) + len(rec.Value)
+		size += connector.Bytes(rec)
 		if i > 0 && size > relayedBytes {
 			return connector.Reading{Records: r.Records[:i], Next: from + identifier.Offset(i), More: true}
 		}
