Large jobs are stored in appends that the store takes; an oversized one fails alone

Cause: batches were bounded by jobs, not by what a store takes. The stand-in of the store now refuses what a store refuses. Not mended: the record of a scheduled job with many occurrences may outgrow a record.

--- a/internal/connector/store.go
+++ b/internal/connector/store.go
@@ -40,6 +40,14 @@
 	return n
 }
 
+// The sizes that every store takes; it refuses the whole of a larger append.
+const (
+	// MaxRecordBytes bounds the key and value of a record.
+	MaxRecordBytes = 256 << 10
+	// MaxAppendBytes bounds the records of one append.
+	MaxAppendBytes = 2 << 20
+)
+
 // KeyedAppend adds records to one partition, all or none of them.
 type KeyedAppend struct {
 	Topic     Topic         `json:"topic"`
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -55,6 +56,34 @@
 	})
 }
 
+// TestOversizedSubmissionDoesNotFailOthers checks that submissions which travel with one
+// that the store would refuse are stored, and what the caller of that one is told.
+func TestOversizedSubmissionDoesNotFailOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := simulator.NewStore(1, 1)
+		store.SetFaults(simulator.StoreFaults{Slow: 100 * time.Millisecond})
+		s := newService(store.Client("front"))
+		large := job(0)
+		large.Steps[0].Image = identifier.Image(strings.Repeat("x", connector.MaxRecordBytes))
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			var r *refuser.Refusal
+			err := s.Submit(t.Context(), Submission{Job: large})
+			if !errors.As(err, &r) || r.Code != refuser.CodeTooLarge || r.Effect != refuser.NotRun || r.RetryAfterMillis != 0 {
+				t.Errorf("oversized submission: %v, want a final refusal as too large", err)
+			}
+		})
+		for n := range 5 {
+			wg.Go(func() {
+				if err := s.Submit(t.Context(), Submission{Job: job(n + 1)}); err != nil {
+					t.Errorf("submission beside it: %v", err)
+				}
+			})
+		}
+		wg.Wait()
+	})
+}
+
 // TestRefusalsOfSubmissions checks what a caller is told, and that a job which
 // is refused as not run is not stored.
 func TestRefusalsOfSubmissions(t *testing.T) {
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -10,6 +10,7 @@
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/estimator"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
 )
 
 // JobRecord is what is stored of a job beyond its submission.
@@ -77,9 +78,16 @@
 // harmsPeriod is the least time between two copies of the learned estimates.
 const harmsPeriod = time.Second
 
-// maxBatchJobs bounds the jobs of a batch, so that it stays below the size of
-// one append.
-const maxBatchJobs = 200
+const (
+	// maxBatchJobs bounds the jobs of a batch, so that a round of small ones does not take
+	// long to encode.
+	maxBatchJobs = 200
+	// recordedTask is the size of a task with a run in a record, in bytes, at most.
+	recordedTask = connector.MaxRecordBytes / submitter.MaxTasks
+	// maxBatchTasks bounds the tasks of a batch, so that it stays below the size of one
+	// append beside the learned estimates.
+	maxBatchTasks = connector.MaxAppendBytes / recordedTask / 2
+)
 
 // saveRound is a set of changed jobs that are stored in as many batches as they need,
 // and what goes on with the last of them. What changes meanwhile waits for the next
@@ -111,13 +119,18 @@
 		p.round = saveRound{p.dirty, p.claims, p.ends}
 		p.dirty, p.claims, p.ends = map[*job]struct{}{}, nil, map[*worker]identifier.EndNumber{}
 	}
+	tasks := 0
 	for j := range p.round.jobs {
 		if len(b.Records) == maxBatchJobs {
 			break
 		}
+		r := recordOf(j)
+		if tasks += len(r.Tasks); len(b.Records) > 0 && tasks > maxBatchTasks {
+			break
+		}
 		delete(p.round.jobs, j)
 		j.mark = p.marks
-		b.Records = append(b.Records, recordOf(j))
+		b.Records = append(b.Records, r)
 	}
 	if len(p.round.jobs) > 0 {
 		// Claims and ends wait for the batch that completes them.
--- a/internal/simulator/store.go
+++ b/internal/simulator/store.go
@@ -182,6 +182,9 @@
 	s := c.store
 	s.lock()
 	defer s.unlock()
+	if err := checkSizes(a); err != nil {
+		return 0, err
+	}
 	p := s.partition(a.Topic, a.Partition)
 	if a.Writer != nil {
 		if end, done, err := p.admit(*a.Writer); done || err != nil {
@@ -198,6 +201,19 @@
 	return p.end(), nil
 }
 
+// checkSizes refuses an append that is too large for a store.
+func checkSizes(a connector.KeyedAppend) error {
+	if n := connector.Bytes(a.Records...); n > connector.MaxAppendBytes {
+		return errors.Mark(errors.Newf("append of %d bytes", n), connector.ErrRefused)
+	}
+	for _, r := range a.Records {
+		if n := connector.Bytes(r); n > connector.MaxRecordBytes {
+			return errors.Mark(errors.Newf("record of %d bytes", n), connector.ErrRefused)
+		}
+	}
+	return nil
+}
+
 // admit checks a writer; done is set for a repeat of an append.
 func (p *partition) admit(w connector.WriterID) (end identifier.Offset, done bool, err error) {
 	switch {
