Log why any ready task waits beside free room, and which runs are held for longer than a lease

Only lasting tasks had a line about their wait, so that a task which is ready beside idle workers left no trace, and neither did a run that keeps its task at a worker which is silent, gone, or owes an answer. No decision changes.

--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -81,6 +81,7 @@
 		zap.Int("starts", now.Starts-before.Starts), zap.Int("startsLate", now.StartsLate-before.StartsLate),
 		zap.Int("ordersUnderWay", now.OrdersUnderWay), zap.Int("ordersLimit", now.OrdersLimit),
 		zap.Int("unsentClaims", now.UnsentClaims), zap.Int("heldClaims", now.HeldClaims), zap.Int("heldStops", now.HeldStops),
+		zap.Int("overdueRuns", now.OverdueRuns), zap.Int("silentWorkers", now.SilentWorkers),
 		zap.Duration("oldestReadyMs", now.OldestReady),
 		zap.Int("looks", now.Looks-before.Looks), zap.Int("listedRuns", now.ListedRuns-before.ListedRuns),
 	}
--- a/internal/planner/log.go
+++ b/internal/planner/log.go
@@ -24,11 +24,13 @@
 
 // Wait says how long tasks of a step have waited for a worker, and why.
 type Wait struct {
-	Job    identifier.Job
-	Step   int
-	Tasks  int
-	Waited time.Duration
-	Reason string
+	Job   identifier.Job
+	Step  int
+	Tasks int
+	// Lasting is set for a step that lasts; others are told of beside much free room.
+	Lasting bool
+	Waited  time.Duration
+	Reason  string
 }
 
 // Log receives the planner's decisions, one call each.
@@ -40,6 +42,7 @@
 	RunLost(run connector.RunID, worker identifier.Worker, renewal Renewal)
 	ClaimWithdrawn(run connector.RunID, worker identifier.Worker, reason string)
 	TasksWait(w Wait)
+	RunOverdue(o Overdue)
 	// StartsLimited tells how many starts may be under way from now on, and how long the
 	// last late one took.
 	StartsLimited(limit int, took time.Duration)
@@ -71,6 +74,8 @@
 
 func (noLog) TasksWait(Wait) {}
 
+func (noLog) RunOverdue(Overdue) {}
+
 func (noLog) ServiceResumed(connector.RunID, identifier.Worker, time.Duration) {}
 
 func (noLog) StartUnanswered(connector.RunID, identifier.Worker, int, error) {}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -107,8 +107,10 @@
 
 	counts counts
 
-	// waits bounds the log lines about steps that wait.
-	waits waitBudget
+	// waits bounds the log lines about steps that wait, overdue is what is known of runs
+	// that are held for long.
+	waits   waits
+	overdue overdue
 
 	dirty     map[*job]struct{}
 	retired   []Retired
@@ -206,6 +208,7 @@
 	p.startHeld()
 	p.activateDue()
 	p.expireSilentWorkers()
+	p.findOverdue()
 	p.retire()
 	p.profile.Enter(profiler.PartPlace)
 	p.place()
--- a/internal/planner/query.go
+++ b/internal/planner/query.go
@@ -60,6 +60,9 @@
 	// UnsentClaims are places whose starts are not sent yet, HeldClaims those of them that
 	// are stored, HeldStops are stops that wait.
 	OrdersUnderWay, OrdersLimit, UnsentClaims, HeldClaims, HeldStops int
+	// OverdueRuns are held for longer than a lease without a word of their workers,
+	// SilentWorkers are those that were not heard from for as long.
+	OverdueRuns, SilentWorkers int
 	// OldestReady is how long a task that waits for a place has been ready at most.
 	OldestReady time.Duration
 }
@@ -70,6 +73,7 @@
 		Jobs: len(p.jobs), Workers: len(p.workers),
 		Starts: p.counts.starts, StartsLate: p.counts.startsLate, Looks: p.counts.looks, ListedRuns: p.counts.listedRuns,
 		OrdersUnderWay: p.orders.Used(), OrdersLimit: p.orders.Limit(), UnsentClaims: p.unsent, HeldClaims: len(p.heldClaims), HeldStops: len(p.stops.held),
+		OverdueRuns: p.overdue.runs, SilentWorkers: p.overdue.workers,
 	}
 	for j := range p.waiting {
 		s.OldestReady = max(s.OldestReady, p.now.Sub(j.readySince()))
--- a/internal/planner/waiter.go
+++ b/internal/planner/waiter.go
@@ -1,15 +1,22 @@
 package planner
 
-import "time"
+import (
+	"time"
+
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+)
 
 const (
-	// longWait is how long a task that lasts may wait for a worker before that is
-	// logged, and the time between two lines of a step.
+	// longWait is how long a task may wait for a worker before that is logged, and the
+	// time between two lines of a step.
 	longWait = time.Second
-	// waitLines bounds the lines about waiting steps in waitPeriod: each counts the
-	// workers by what keeps the step from them.
+	// waitLines bounds the lines about waiting steps in waitPeriod, those that last and
+	// others apart: each counts the workers by what keeps the step from them.
 	waitLines  = 5
 	waitPeriod = time.Second
+	// muchRoom is the part of a service's room that is free where a task that does not last
+	// should not wait for long.
+	muchRoom = 0.5
 )
 
 // waitBudget bounds the lines about steps that wait.
@@ -27,12 +34,17 @@
 	return b.lines <= waitLines
 }
 
-// logWaits logs which steps that last wait for a worker while nothing more is placed.
+// waits are the lines about steps that wait.
+type waits struct {
+	lasting, other waitBudget
+	// roomy are the services with much free room at a moment.
+	roomy   map[identifier.Service]bool
+	roomyAt time.Time
+}
+
+// logWaits logs which steps wait for a worker while nothing more is placed.
 func (p *Planner) logWaits() {
 	for j := range p.waiting {
-		if !j.lasts() {
-			continue
-		}
 		for _, groups := range j.occurrences {
 			for _, g := range groups {
 				p.logWait(g)
@@ -41,17 +53,54 @@
 	}
 }
 
-// logWait logs that tasks of a step that lasts have waited for long, and why.
+// logWait logs that tasks of a step have waited for long, and why: of any step that lasts,
+// and of others beside much free room.
 func (p *Planner) logWait(g *group) {
-	if g.ready == 0 || !g.step.LongRunning || p.now.Sub(g.waitLogged) < longWait {
+	if g.ready == 0 || p.now.Sub(g.waitLogged) < longWait || !g.step.LongRunning && !p.hasMuchRoom(g.job.queue.Service) {
 		return
 	}
 	t := g.firstReady()
-	if t == nil || p.now.Sub(t.readyAt) < longWait || !p.waits.take(p.now) {
+	if t == nil || p.now.Sub(t.readyAt) < longWait || !p.waits.of(g).take(p.now) {
 		return
 	}
 	g.waitLogged = p.now
-	p.log.TasksWait(Wait{Job: g.job.def.ID, Step: g.index, Tasks: g.ready, Waited: p.now.Sub(t.readyAt), Reason: p.reasonToWait(t)})
+	p.log.TasksWait(Wait{
+		Job: g.job.def.ID, Step: g.index, Tasks: g.ready, Lasting: g.step.LongRunning,
+		Waited: p.now.Sub(t.readyAt), Reason: p.reasonToWait(t),
+	})
+}
+
+func (w *waits) of(g *group) *waitBudget {
+	if g.step.LongRunning {
+		return &w.lasting
+	}
+	return &w.other
+}
+
+// hasMuchRoom reports whether much of the room of a service's listed workers is free.
+func (p *Planner) hasMuchRoom(s identifier.Service) bool {
+	if p.waits.roomy == nil || p.now.Sub(p.waits.roomyAt) >= waitPeriod {
+		p.waits.roomy, p.waits.roomyAt = p.roomyServices(), p.now
+	}
+	return p.waits.roomy[s]
+}
+
+func (p *Planner) roomyServices() map[identifier.Service]bool {
+	type room struct{ whole, used identifier.Size }
+	rooms := map[identifier.Service]room{}
+	for _, w := range p.list {
+		if !w.listed {
+			continue
+		}
+		r := rooms[w.entry.Service]
+		rooms[w.entry.Service] = room{r.whole.Add(w.entry.Capacity), r.used.Add(w.used)}
+	}
+	roomy := make(map[identifier.Service]bool, len(rooms))
+	for s, r := range rooms {
+		roomy[s] = share(r.used.Processors, r.whole.Processors) < 1-muchRoom &&
+			float64(r.used.Memory) < (1-muchRoom)*float64(r.whole.Memory)
+	}
+	return roomy
 }
 
 // reasonToWait says what keeps a ready task from being placed.
--- a/internal/planner/waiter_test.go
+++ b/internal/planner/waiter_test.go
@@ -17,6 +17,7 @@
 	withdrawn []string
 	waits     []Wait
 	resumed   []time.Duration
+	overdue   []Overdue
 }
 
 func (r *recorder) RunEnded(_ connector.RunID, _ identifier.Worker, _ connector.RunEnd, _ time.Duration, renewal Renewal) {
@@ -29,6 +30,8 @@
 
 func (r *recorder) TasksWait(w Wait) { r.waits = append(r.waits, w) }
 
+func (r *recorder) RunOverdue(o Overdue) { r.overdue = append(r.overdue, o) }
+
 func (r *recorder) ServiceResumed(_ connector.RunID, _ identifier.Worker, out time.Duration) {
 	r.resumed = append(r.resumed, out)
 }
@@ -105,3 +108,34 @@
 		t.Fatalf("withdrawn %v, starts %v", log.withdrawn, b.starts())
 	}
 }
+
+// TestWaitsBesideFreeRoomAreLogged checks that the log says why tasks that do not last wait
+// although much room is free, and is silent about those that wait for room.
+func TestWaitsBesideFreeRoomAreLogged(t *testing.T) {
+	tests := map[string]struct {
+		step submitter.Step
+		want string
+	}{
+		"kept by a label": {submitter.Step{Count: 1, Size: small, Label: "gpu"}, "1 workers lack the label"},
+		"no room":         {submitter.Step{Count: 5, Size: small}, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			log := &recorder{}
+			b := newBench(t, workerEntry("w"))
+			b.p.log = log
+			b.update(0)
+			b.look("w", connector.HoldAnswer{})
+			b.submit("00000000000000aa", tt.step)
+			b.update(longWait)
+			b.update(longWait / 2)
+			switch {
+			case tt.want == "" && len(log.waits) > 0:
+				t.Fatalf("lines %+v", log.waits)
+			case tt.want == "":
+			case len(log.waits) != 1 || log.waits[0].Reason != tt.want || log.waits[0].Lasting:
+				t.Fatalf("lines %+v, want one: %s", log.waits, tt.want)
+			}
+		})
+	}
+}
--- a/internal/supervisor/log.go
+++ b/internal/supervisor/log.go
@@ -85,11 +85,22 @@
 
 // TasksWait implements planner.Log.
 func (l PlanLog) TasksWait(w planner.Wait) {
-	l.meter.Decided("lastingWaits")
-	l.logger.Info("lasting tasks wait", zap.String("request", string(w.Job)), zap.Int("step", w.Step), zap.Int("tasks", w.Tasks),
+	decision, message := "waitsBesideRoom", "tasks wait beside free room"
+	if w.Lasting {
+		decision, message = "lastingWaits", "lasting tasks wait"
+	}
+	l.meter.Decided(decision)
+	l.logger.Info(message, zap.String("request", string(w.Job)), zap.Int("step", w.Step), zap.Int("tasks", w.Tasks),
 		zap.Duration("waitedMs", w.Waited), zap.String("reason", w.Reason))
 }
 
+// RunOverdue implements planner.Log.
+func (l PlanLog) RunOverdue(o planner.Overdue) {
+	l.meter.Decided("overdue")
+	fields := append(runFields(o.Run, o.Worker), zap.Int("runs", o.Runs), zap.String("phase", o.Phase), zap.Duration("heldMs", o.Held), zap.String("reason", o.Reason))
+	l.logger.Warn("run is held for longer than a lease", append(fields, renewalFields(o.Renewal)...)...)
+}
+
 // StartsLimited implements planner.Log.
 func (l PlanLog) StartsLimited(limit int, took time.Duration) {
 	l.meter.Decided("startsLimited")
