An odd entry of a worker means the same to all readers

An entry that cannot be used, under the identity of a known worker, left the last good one in force in a reader that follows and no worker in one that begins. The newest record counts now: the worker takes nothing new until it has a good entry again.

--- a/internal/connector/runner.go
+++ b/internal/connector/runner.go
@@ -28,6 +28,10 @@
 	Cold time.Duration `json:"cold"`
 	// Born tells the lives of a worker apart; zero if unknown.
 	Born identifier.UnixMillis `json:"born"`
+	// Unreadable is set while the newest record of the worker cannot be used. It takes
+	// nothing new; the other fields are those of the last record that could be, so that
+	// what runs there is still looked after.
+	Unreadable bool `json:"unreadable,omitempty"`
 }
 
 // WorkerTarget is where an order goes.
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -62,6 +62,16 @@
 	return errors.Wrapf(err, "create gauge %s", name)
 }
 
+// Counter registers a count that is read at every scrape.
+func (m *Meter) Counter(name, description string, read func() int64) error {
+	_, err := m.meter.Int64ObservableCounter(name, metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	return errors.Wrapf(err, "create counter %s", name)
+}
+
 // Request records the end of a request; code is "ok" or the code of a refusal.
 func (m *Meter) Request(service *parser.Service, code string, sends int, took time.Duration) {
 	attrs := metric.WithAttributes(
--- a/internal/planner/explainer.go
+++ b/internal/planner/explainer.go
@@ -18,6 +18,7 @@
 	obstacleNone        obstacle = ""
 	obstacleService     obstacle = "serve another service"
 	obstacleSilent      obstacle = "do not answer"
+	obstacleUnreadable  obstacle = "have an entry that cannot be read"
 	obstacleDraining    obstacle = "are draining"
 	obstacleEvacuated   obstacle = "are in an evacuated data centre"
 	obstacleQuarantine  obstacle = "are in quarantine"
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -275,6 +275,8 @@
 	switch {
 	case !w.listed || !w.current || w.misses > 0:
 		return obstacleSilent
+	case w.entry.Unreadable:
+		return obstacleUnreadable
 	case w.entry.Draining:
 		return obstacleDraining
 	case p.directory.Evacuated[w.entry.DataCentre]:
@@ -327,5 +329,15 @@
 		w.nextHold = p.now
 		p.log.WorkerChanged(id, "listed")
 	}
+	if w.listed && w.entry.Unreadable != entry.Unreadable {
+		p.log.WorkerChanged(id, readability(entry))
+	}
 	w.entry, w.listed = entry, true
 }
+
+func readability(e connector.WorkerEntry) string {
+	if e.Unreadable {
+		return "entry cannot be read"
+	}
+	return "entry can be read again"
+}
