--- a/internal/connector/store.go
+++ b/internal/connector/store.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -118,24 +122,60 @@
 	Owners(ctx context.Context, group string) ([]Ownership, error)
 }
 
+// maxPages bounds the pages of newest records, far above those of a full store.
+const maxPages = 10_000
+
 // NewestAll returns the newest record of every key of a partition, and the
-// offset from which reading on misses nothing.
+// offset from which reading on misses nothing. A record may be there twice.
 func NewestAll(ctx context.Context, s Store, topic Topic, part Partition) ([]KeyedRecord, identifier.Offset, error) {
 	var records []KeyedRecord
 	var end identifier.Offset
 	after := ""
-	for first := true; ; first = false {
+	used := map[string]bool{"": true}
+	for n := range maxPages {
 		page, err := s.Newest(ctx, topic, part, after)
 		if err != nil {
 			return nil, 0, err
 		}
-		if first {
+		if n == 0 {
 			end = page.End
 		}
 		records = append(records, page.Records...)
-		if !page.More || len(page.Records) == 0 {
+		if !page.More {
 			return records, end, nil
 		}
-		after = page.Records[len(page.Records)-1].Key
+		next, ok := nextCursor(page.Records, used)
+		if !ok {
+			break
+		}
+		after, used[next] = next, true
 	}
+	return nil, 0, errors.Mark(errors.Newf("pages of topic %s lead nowhere after key %q", topic, after), ErrUnknown)
 }
+
+// nextCursor returns the key after which the next page begins; ok is false if all that may
+// help were used. A key that is not valid UTF-8 is told with replacement characters: the
+// store would not know it, and might begin with the same page for ever.
+func nextCursor(records []KeyedRecord, used map[string]bool) (key string, ok bool) {
+	for _, r := range slices.Backward(records) {
+		if !isMangled(r.Key) && !used[r.Key] {
+			return r.Key, true
+		}
+	}
+	if len(records) == 0 {
+		return "", false
+	}
+	// What is mangled is beyond ASCII. So is all that these pass over.
+	sound, _, _ := strings.Cut(strings.ToValidUTF8(records[len(records)-1].Key, mangled), mangled)
+	for _, key := range []string{sound + string(unicode.MaxRune), sound + "\xff\xff\xff\xff"} {
+		if !used[key] {
+			return key, true
+		}
+	}
+	return "", false
+}
+
+// mangled stands for bytes that are not valid UTF-8.
+const mangled = string(unicode.ReplacementChar)
+
+func isMangled(key string) bool { return !utf8.ValidString(key) || strings.Contains(key, mangled) }
