One odd row of a worker's answer leaves the others

A row of running or ended that could not be read failed the whole answer, so that the worker counted as silent for good.

--- a/internal/connector/runner.go
+++ b/internal/connector/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/balsamcove/balsamcove/pkg/identifier"
@@ -46,6 +47,10 @@
 	Attempt identifier.Attempt `json:"attempt"`
 }
 
+// IsUnread reports whether the run stands for a row of an answer that could not be read: it
+// may be any run.
+func (r RunID) IsUnread() bool { return r == RunID{} }
+
 // RunOrder makes a worker run a task.
 type RunOrder struct {
 	Run        RunID                 `json:"run"`
@@ -100,7 +105,7 @@
 	Through identifier.Entry `json:"through,omitempty"`
 }
 
-// ActiveRun is a run that goes on at a worker.
+// ActiveRun is a run that goes on at a worker; its Run may be unread.
 type ActiveRun struct {
 	Run        RunID                 `json:"run"`
 	Checkpoint identifier.Checkpoint `json:"checkpoint"`
@@ -128,7 +133,17 @@
 	EndAlone RunEnd = "alone"
 )
 
-// EndedRun is a run that has ended at a worker.
+// IsKnown reports whether the manner of an end is one of those above.
+func (e RunEnd) IsKnown() bool {
+	switch e {
+	case EndDone, EndFailed, EndStopped, EndLapsed, EndBroken, EndAlone:
+		return true
+	}
+	return false
+}
+
+// EndedRun is a run that has ended at a worker. If its Run is unread, its Number may be
+// zero.
 type EndedRun struct {
 	Number     identifier.EndNumber  `json:"number"`
 	Run        RunID                 `json:"run"`
@@ -144,6 +159,12 @@
 	Ended  []EndedRun            `json:"ended"`
 }
 
+// HasUnread reports whether a row of the answer could not be read.
+func (a HoldAnswer) HasUnread() bool {
+	return slices.ContainsFunc(a.Active, func(r ActiveRun) bool { return r.Run.IsUnread() }) ||
+		slices.ContainsFunc(a.Ended, func(r EndedRun) bool { return r.Run.IsUnread() })
+}
+
 // Runner sends orders to workers. Errors are marked ErrNotSent or ErrUnknown.
 type Runner interface {
 	Start(ctx context.Context, to WorkerTarget, o RunOrder) (OrderAnswer, error)
--- a/internal/planner/end.go
+++ b/internal/planner/end.go
@@ -6,14 +6,15 @@
 	"github.com/balsamcove/balsamcove/internal/connector"
 )
 
-// ended handles a listed end that is new.
+// ended handles a listed end that is new, or that can be read now.
 func (p *Planner) ended(w *worker, e connector.EndedRun) {
-	if e.Number <= w.seen {
+	readNow := w.unreadEnd > 0 && e.Number >= w.unreadEnd && w.runs[e.Run] != nil
+	if e.Run.IsUnread() || e.Number <= w.seen && !readNow {
 		return
 	}
-	w.seen = e.Number
+	w.seen = max(w.seen, e.Number)
 	w.unsaved = true
-	p.ends[w] = e.Number
+	p.ends[w] = w.seen
 	if r := w.runs[e.Run]; r != nil {
 		p.runEnded(r, e)
 		return
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -22,6 +22,10 @@
 	// unsavedPause is the pause between looks at a worker whose ends are not yet
 	// stored; the lease has to be renewed meanwhile.
 	unsavedPause = 500 * time.Millisecond
+	// unreadPause is the pause between looks at a worker that lists an end which cannot be
+	// read, and so answers at once. It is below lifeCertain, so that the ends before it are
+	// acknowledged.
+	unreadPause = 250 * time.Millisecond
 	// lifeCertain is for how long after an answer the worker cannot have been
 	// replaced by a new life of it. The numbers of ended runs begin anew with each
 	// life, so that an acknowledgement must not reach the next one.
@@ -39,18 +43,30 @@
 		if !w.listed || p.now.Before(w.nextHold) {
 			continue
 		}
-		if w.unsaved && w.current && p.now.Sub(w.heardAt) < unsavedPause {
+		if w.current && p.now.Sub(w.heardAt) < w.lookPause() {
 			continue
 		}
 		p.sendHold(w)
 	}
 }
 
+// lookPause returns the least time from an answer to the next look.
+func (w *worker) lookPause() time.Duration {
+	switch {
+	case w.unsaved:
+		return unsavedPause
+	case w.unreadEnd > 0:
+		return unreadPause
+	default:
+		return 0
+	}
+}
+
 func (p *Planner) sendHold(w *worker) {
 	order := connector.HoldOrder{Epoch: p.epochOf(w)}
 	sameLife := w.current && w.misses == 0 && p.now.Sub(w.heardAt) < lifeCertain
 	if sameLife {
-		order.Forget = w.forget
+		order.Forget = w.forgettable()
 	}
 	order.LeaseUntil = p.renewal(w)
 	if sameLife && !w.unsaved && !w.inDoubt() {
@@ -157,15 +173,18 @@
 		if w.born != 0 {
 			p.log.WorkerChanged(w.id, "restarted")
 		}
-		w.born, w.seen, w.forget, w.leaseAsked = e.Answer.Born, 0, 0, 0
+		w.born, w.seen, w.forget, w.unreadEnd, w.leaseAsked = e.Answer.Born, 0, 0, 0, 0
 	}
 	for _, ended := range e.Answer.Ended {
 		p.ended(w, ended)
 	}
 	for _, a := range e.Answer.Active {
-		p.active(w, a)
+		if !a.Run.IsUnread() {
+			p.active(w, a)
+		}
 	}
-	if len(e.Answer.Ended) < maxListedEnds {
+	w.unreadEnd = firstUnreadEnd(e)
+	if len(e.Answer.Ended) < maxListedEnds && !e.Answer.HasUnread() {
 		p.findMissing(w, e)
 	}
 	p.observeTails(w)
@@ -173,6 +192,31 @@
 	p.emptyDraining(w)
 }
 
+// forgettable returns up to which end the worker may forget its ends: all that are stored,
+// but none that could not be read.
+func (w *worker) forgettable() identifier.EndNumber {
+	if w.unreadEnd > 0 {
+		return min(w.forget, w.unreadEnd-1)
+	}
+	return w.forget
+}
+
+// firstUnreadEnd returns the least number that the first end of an answer which could not be
+// read may have, or zero. A full list counts as read: the ends that follow would never be listed otherwise.
+func firstUnreadEnd(e HoldAnswered) identifier.EndNumber {
+	if len(e.Answer.Ended) >= maxListedEnds {
+		return 0
+	}
+	before := e.Order.Forget
+	for _, end := range e.Answer.Ended {
+		if end.Run.IsUnread() {
+			return before + 1
+		}
+		before = end.Number
+	}
+	return 0
+}
+
 // active handles a run that the worker says it runs.
 func (p *Planner) active(w *worker, a connector.ActiveRun) {
 	r := w.runs[a.Run]
@@ -229,7 +273,8 @@
 	return &groups[name.Step].tasks[name.Index]
 }
 
-// findMissing gives up runs that the worker should have listed.
+// findMissing gives up runs that the worker should have listed. All rows of its answer were
+// read.
 func (p *Planner) findMissing(w *worker, e HoldAnswered) {
 	for _, r := range w.runs {
 		if r.listedIn == p.counts.looks {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -295,8 +295,8 @@
 			continue
 		}
 		due := w.nextHold
-		if w.unsaved {
-			due = later(due, w.heardAt.Add(unsavedPause))
+		if pause := w.lookPause(); pause > 0 {
+			due = later(due, w.heardAt.Add(pause))
 		}
 		if due.Before(next) {
 			next = due
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -31,6 +31,8 @@
 	now      time.Time
 	dir      connector.Directory
 	commands []Command
+	// hold is the look under way at worker w.
+	hold HoldWorker
 }
 
 func newBench(t *testing.T, workers ...connector.WorkerEntry) *bench {
--- /dev/null
+++ b/internal/planner/unread_test.go
@@ -0,0 +1,131 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
+)
+
+// newRunning returns a bench with a confirmed run at worker w, and the look under way there.
+func newRunning(t *testing.T) (*bench, StartRun) {
+	t.Helper()
+	b := newBench(t, workerEntry("w"))
+	b.update(0)
+	b.look("w", connector.HoldAnswer{OrderAnswer: connector.OrderAnswer{Clock: 1}, Born: 1})
+	b.hold, _ = find[HoldWorker](b.commands, func(HoldWorker) bool { return true })
+	s := b.startOne(submitter.Step{Count: 1, Size: small})
+	b.confirm(s)
+	return b, s
+}
+
+// answerLook answers the look under way at worker w and stores what follows; the next
+// look is then under way.
+func (b *bench) answerLook(a connector.HoldAnswer) {
+	b.t.Helper()
+	a.Verdict, a.Born, a.Clock = connector.VerdictOK, 1, connector.WorkerClock(b.now.UnixNano())
+	b.update(unsavedPause, HoldAnswered{Worker: "w", Order: b.hold.Order, SentAt: b.now, Answer: a})
+	next, ok := find[HoldWorker](b.commands, func(HoldWorker) bool { return true })
+	for range 10 {
+		if ok {
+			break
+		}
+		b.save()
+		if next, ok = find[HoldWorker](b.commands, func(HoldWorker) bool { return true }); !ok {
+			b.update(unsavedPause)
+			next, ok = find[HoldWorker](b.commands, func(HoldWorker) bool { return true })
+		}
+	}
+	if !ok {
+		b.t.Fatal("no look")
+	}
+	b.hold = next
+}
+
+// TestUnreadRowMayBeARun checks that a run which a worker does not list is not given up
+// while a row of the same answer could not be read.
+func TestUnreadRowMayBeARun(t *testing.T) {
+	odd := map[string]connector.HoldAnswer{
+		"row of a run":             {Active: []connector.ActiveRun{{}}},
+		"row of an end":            {Ended: []connector.EndedRun{{Number: 1}}},
+		"row of an end, no number": {Ended: []connector.EndedRun{{}}},
+	}
+	for name, answer := range odd {
+		t.Run(name, func(t *testing.T) {
+			b, s := newRunning(t)
+			for range 3 {
+				b.answerLook(answer)
+				if b.p.workers["w"].runs[s.Order.Run] == nil {
+					t.Fatal("the run that may go on is given up")
+				}
+			}
+			for _, c := range b.commands {
+				if stop, ok := c.(StopRun); ok {
+					t.Errorf("stop %+v of a run that could not be read", stop)
+				}
+			}
+			b.answerLook(connector.HoldAnswer{Ended: []connector.EndedRun{{Number: 1, Run: s.Order.Run, How: connector.EndDone}}})
+			if n := len(b.p.workers["w"].runs); n != 0 {
+				t.Errorf("%d runs after the end could be read", n)
+			}
+		})
+	}
+}
+
+// TestUnreadEndIsNotForgotten checks that a worker is not told to forget an end which could
+// not be read, that the ends after it are taken into account, and that it does not fill the
+// list of ends for ever.
+func TestUnreadEndIsNotForgotten(t *testing.T) {
+	ends := func(unread identifier.EndNumber, last int) []connector.EndedRun {
+		var out []connector.EndedRun
+		for n := range last {
+			e := connector.EndedRun{Number: identifier.EndNumber(n + 1)}
+			if n != 1 {
+				e.Run = connector.RunID{Task: identifier.JobTask{Job: "ff", Index: n}, Attempt: 1}
+				e.How = connector.EndDone
+			} else {
+				e.Number = unread
+			}
+			out = append(out, e)
+		}
+		return out
+	}
+	for name, unread := range map[string]identifier.EndNumber{"number told": 2, "number not told": 0} {
+		t.Run(name, func(t *testing.T) {
+			b, s := newRunning(t)
+			active := []connector.ActiveRun{{Run: s.Order.Run}}
+			forget := func(want identifier.EndNumber, a connector.HoldAnswer) {
+				t.Helper()
+				for range 3 {
+					b.answerLook(a)
+				}
+				// Ends are forgotten only soon after an answer.
+				b.update(time.Millisecond, HoldAnswered{Worker: "w", Order: b.hold.Order, SentAt: b.now, Answer: withVerdict(a)})
+				hold, ok := find[HoldWorker](b.commands, func(HoldWorker) bool { return true })
+				if w := b.p.workers["w"]; !ok && w.unreadEnd > 0 {
+					b.update(unreadPause)
+					hold, ok = find[HoldWorker](b.commands, func(HoldWorker) bool { return true })
+				}
+				if !ok {
+					t.Fatal("no look")
+				}
+				b.hold = hold
+				if got := b.hold.Order.Forget; got != want {
+					t.Errorf("worker is told to forget ends up to %d, want %d", got, want)
+				}
+			}
+			forget(1, connector.HoldAnswer{Active: active, Ended: ends(unread, 10)})
+			if seen := b.p.workers["w"].seen; seen != 10 {
+				t.Errorf("ends up to %d were taken into account, want 10", seen)
+			}
+			forget(maxListedEnds, connector.HoldAnswer{Active: active, Ended: ends(unread, maxListedEnds)})
+		})
+	}
+}
+
+func withVerdict(a connector.HoldAnswer) connector.HoldAnswer {
+	a.Verdict, a.Born = connector.VerdictOK, 1
+	return a
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -97,10 +97,13 @@
 	born           identifier.UnixMillis
 	seen           identifier.EndNumber
 	forget         identifier.EndNumber
-	unsaved        bool
-	runs           map[connector.RunID]*run
-	used           identifier.Size
-	scavenge       identifier.Millicores
+	// unreadEnd is the least number that the first end listed which could not be read may
+	// have; zero if all could.
+	unreadEnd identifier.EndNumber
+	unsaved   bool
+	runs      map[connector.RunID]*run
+	used      identifier.Size
+	scavenge  identifier.Millicores
 	// serving counts the tasks that serve; serveCPU is what they reserve.
 	serving  int
 	serveCPU identifier.Millicores
