A job whose numbers overflow is refused

Counts of steps whose sum overflows passed the check of a job, which was then stored; the planner of each holder that read it panicked (makeslice: len out of range), one holder after the other. Counts, sizes, spans, schedules, names and identities are bounded now, also for jobs that are stored already, and a submission that is not UTF-8 is refused instead of changed. Estimates and targets out of range became zero; they are refused.

--- a/internal/intake/record.go
+++ b/internal/intake/record.go
@@ -89,7 +89,10 @@
 	switch {
 	case strings.HasPrefix(r.Key, submissionPrefix):
 		e.Submission = &Submission{}
-		err = cbor.Unmarshal(r.Value, e.Submission)
+		if err = cbor.Unmarshal(r.Value, e.Submission); err == nil {
+			// What is stored is acted on by every holder, whoever accepted it.
+			err = e.Submission.Job.Check()
+		}
 	case strings.HasPrefix(r.Key, cancellationPrefix):
 		e.Cancellation = &Cancellation{}
 		err = cbor.Unmarshal(r.Value, e.Cancellation)
--- a/pkg/submitter/submitter.go
+++ b/pkg/submitter/submitter.go
@@ -4,7 +4,10 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 	"github.com/balsamcove/balsamcove/pkg/parser"
@@ -21,8 +24,22 @@
 	MaxTasks = 4096
 	// MaxOccurrences bounds the repeats of a job.
 	MaxOccurrences = 10_000
+	// MaxIDBytes bounds the identity of a job, which is a part of a key in the store.
+	MaxIDBytes = 128
+	// MaxNameBytes bounds labels, racks and images.
+	MaxNameBytes = 255
+	// MaxSpan bounds estimates, targets and periods, and with maxSchedule what they add up
+	// to; both are far below the largest time.Duration.
+	MaxSpan     = 10 * 365 * 24 * time.Hour
+	maxSchedule = 100 * 365 * 24 * time.Hour
+	// maxUnixMillis is the end of the year 9999.
+	maxUnixMillis identifier.UnixMillis = 253_402_300_799_999
 )
 
+// MaxSize bounds what a task may reserve, so that the sizes of all tasks add up: a million
+// cores, an exbibyte, a million accelerators.
+var MaxSize = identifier.Size{Processors: 1_000_000_000, Memory: 1 << 40, Accelerators: 1_000_000}
+
 // Job is what a caller hands in.
 type Job struct {
 	ID    identifier.Job   `yaml:"id" json:"id" cbor:"1,keyasint"`
@@ -99,22 +116,36 @@
 	return n
 }
 
+// fewTasks reports whether an occurrence has at most MaxTasks tasks, however large the
+// counts of its steps are.
+func (j Job) fewTasks() bool {
+	left := MaxTasks
+	for _, s := range j.Steps {
+		if s.Count > left {
+			return false
+		}
+		left -= max(s.Count, 0)
+	}
+	return true
+}
+
 // Check returns a *parser.InvalidError that lists every mistake of a job, or
 // nil.
 func (j Job) Check() error {
 	c := checker{}
 	c.require(j.ID != "", "id", "is missing")
+	c.require(isID(j.ID), "id", "is no text without dots of at most %d bytes", MaxIDBytes)
 	c.require(j.Queue != "", "queue", "is missing")
 	c.require(len(j.Spec) <= MaxSpecBytes, "spec", "has more than %d bytes", MaxSpecBytes)
+	c.require(utf8.ValidString(j.Spec), "spec", "is not UTF-8")
 	c.require(len(j.Steps) > 0, "steps", "is empty")
 	c.require(len(j.Steps) <= MaxSteps, "steps", "has more than %d entries", MaxSteps)
-	c.require(j.Tasks() <= MaxTasks, "steps", "has more than %d tasks", MaxTasks)
-	for i, s := range j.Steps {
+	c.require(j.fewTasks(), "steps", "has more than %d tasks", MaxTasks)
+	for i, s := range j.Steps[:min(len(j.Steps), MaxSteps)] {
 		c.step(i, s)
 	}
 	if j.Schedule != nil {
-		c.require(j.Schedule.Times > 0 && j.Schedule.Times <= MaxOccurrences, "schedule.times", "is not between 1 and %d", MaxOccurrences)
-		c.require(j.Schedule.Times == 1 || j.Schedule.Period > 0, "schedule.period", "is not positive")
+		c.schedule(*j.Schedule)
 	}
 	if len(c.problems) == 0 {
 		return nil
@@ -131,15 +162,46 @@
 	c.problems = append(c.problems, parser.Problem{Field: field, Wrong: fmt.Sprintf(format, args...)})
 }
 
+// isID reports whether an identity can be a part of the names of tasks, of keys and of
+// lines.
+func isID(id identifier.Job) bool {
+	return len(id) <= MaxIDBytes && isName(string(id)) && !strings.Contains(string(id), ".")
+}
+
+// isName reports whether a name can be stored and shown.
+func isName(name string) bool {
+	return len(name) <= MaxNameBytes && utf8.ValidString(name) && !strings.ContainsFunc(name, unicode.IsControl)
+}
+
+func (c *checker) schedule(s Schedule) {
+	c.require(s.Times > 0 && s.Times <= MaxOccurrences, "schedule.times", "is not between 1 and %d", MaxOccurrences)
+	c.require(s.Times == 1 || s.Period > 0, "schedule.period", "is not positive")
+	c.span("schedule.period", s.Period)
+	c.require(s.Times <= 0 || s.Period.Std() <= maxSchedule/time.Duration(s.Times), "schedule", "lasts longer than %v", maxSchedule)
+	c.require(s.First >= 0 && s.First <= maxUnixMillis, "schedule.first", "is no time")
+}
+
+// span refuses times below zero and beyond MaxSpan.
+func (c *checker) span(field string, d identifier.Duration) {
+	c.require(d >= 0, field, "is negative")
+	c.require(d.Std() <= MaxSpan, field, "is more than %v", MaxSpan)
+}
+
 func (c *checker) step(i int, s Step) {
 	at := fmt.Sprintf("steps[%d].", i)
 	c.require(s.Count > 0, at+"count", "is not positive")
 	c.require(s.Size.Processors >= 0 && s.Size.Memory >= 0 && s.Size.Accelerators >= 0, at+"size", "is negative")
-	c.require(s.Estimate >= 0, at+"estimate", "is negative")
+	c.require(s.Size.Fits(MaxSize), at+"size", "is more than %s", MaxSize)
+	c.span(at+"estimate", s.Estimate)
+	c.span(at+"tailTarget", s.TailTarget)
 	c.require(s.MaxPerWorker >= 0, at+"maxPerWorker", "is negative")
 	c.require(s.MaxUnavailable >= 0, at+"maxUnavailable", "is negative")
 	c.require(!s.Gang || !s.Copies, at+"copies", "cannot be set for a gang")
-	for _, a := range s.After {
+	c.require(isName(string(s.Label)), at+"label", "is no name")
+	c.require(isName(string(s.DataRack)), at+"dataRack", "is no name")
+	c.require(isName(string(s.Image)), at+"image", "is no name")
+	c.require(len(s.After) <= MaxSteps, at+"after", "has more than %d entries", MaxSteps)
+	for _, a := range s.After[:min(len(s.After), MaxSteps)] {
 		c.require(a >= 0 && a < i, at+"after", "names step %d, which is not an earlier one", a)
 	}
 }
