Messages and records of other hosts end no process

A line without end before a message was read into memory without bound, and a message took as much memory as it said it would, 16 MB for each connection; both are bounded now. Records and rows that name a step, task or occurrence below zero made the planner panic. Decoders that panic count as records that cannot be read (internal/catcher). The planner's passes are not recovered: going on with a state that is half changed might start a task twice, so what reaches it is checked before.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"github.com/balsamcove/balsamcove/internal/catcher"
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/sleeper"
@@ -134,11 +135,8 @@
 }
 
 func decode(value []byte) (Announcement, error) {
-	var out Announcement
-	if err := cbor.Unmarshal(value, &out); err != nil {
-		return out, errors.Mark(errors.Wrap(err, "decode announcement"), ErrRecord)
-	}
-	return out, nil
+	out, err := catcher.Unmarshal[Announcement](cbor.Unmarshal, value)
+	return out, errors.Mark(errors.Wrap(err, "decode announcement"), ErrRecord)
 }
 
 // Largest returns the size of the largest host that was ever announced; ok is false
--- a/internal/carrier/wire.go
+++ b/internal/carrier/wire.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/balsamcove/balsamcove/internal/catcher"
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
@@ -217,9 +218,6 @@
 
 // decode reads the content of a message; the error is marked ErrBatch.
 func decode[T any](data []byte) (T, error) {
-	var out T
-	if err := cbor.Unmarshal(data, &out); err != nil {
-		return out, errors.Mark(errors.Wrap(err, "decode batch"), ErrBatch)
-	}
-	return out, nil
+	out, err := catcher.Unmarshal[T](cbor.Unmarshal, data)
+	return out, errors.Mark(errors.Wrap(err, "decode batch"), ErrBatch)
 }
--- a/internal/catcher/catcher.go
+++ b/internal/catcher/catcher.go
@@ -18,3 +18,12 @@
 	}()
 	return f()
 }
+
+// Unmarshal returns what a decoder of an encoding, such as cbor.Unmarshal, reads from data.
+func Unmarshal[T any](unmarshal func(data []byte, v any) error, data []byte) (T, error) {
+	return Decode(func() (T, error) {
+		var out T
+		err := unmarshal(data, &out)
+		return out, err
+	})
+}
--- a/internal/catcher/catcher_test.go
+++ b/internal/catcher/catcher_test.go
@@ -1,11 +1,25 @@
 package catcher
 
 import (
+	"encoding/json"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 )
 
+func TestUnmarshal(t *testing.T) {
+	if got, err := Unmarshal[[]int](json.Unmarshal, []byte(`[1,2]`)); err != nil || len(got) != 2 {
+		t.Errorf("%v, %v", got, err)
+	}
+	if _, err := Unmarshal[[]int](json.Unmarshal, []byte(`{`)); err == nil || errors.Is(err, ErrPanic) {
+		t.Errorf("error %v, want that of the decoder", err)
+	}
+	odd := func([]byte, any) error { panic("odd") }
+	if _, err := Unmarshal[[]int](odd, nil); !errors.Is(err, ErrPanic) {
+		t.Errorf("error %v, want ErrPanic", err)
+	}
+}
+
 func TestDecode(t *testing.T) {
 	errOwn := errors.New("own")
 	var none []int
--- a/internal/intake/record.go
+++ b/internal/intake/record.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/balsamcove/balsamcove/internal/catcher"
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 	"github.com/balsamcove/balsamcove/pkg/submitter"
@@ -88,14 +89,11 @@
 	}
 	switch {
 	case strings.HasPrefix(r.Key, submissionPrefix):
-		e.Submission = &Submission{}
-		if err = cbor.Unmarshal(r.Value, e.Submission); err == nil {
-			// What is stored is acted on by every holder, whoever accepted it.
-			err = e.Submission.Job.Check()
-		}
+		e.Submission, err = decodeSubmission(r.Value)
 	case strings.HasPrefix(r.Key, cancellationPrefix):
-		e.Cancellation = &Cancellation{}
-		err = cbor.Unmarshal(r.Value, e.Cancellation)
+		var c Cancellation
+		c, err = catcher.Unmarshal[Cancellation](cbor.Unmarshal, r.Value)
+		e.Cancellation = &c
 	default:
 		err = errors.Newf("unknown key %q", r.Key)
 	}
@@ -104,3 +102,13 @@
 	}
 	return e, true, nil
 }
+
+// decodeSubmission reads a submission. Its job is checked again: what is stored is acted on
+// by every holder, whoever accepted it.
+func decodeSubmission(value []byte) (*Submission, error) {
+	s, err := catcher.Unmarshal[Submission](cbor.Unmarshal, value)
+	if err != nil {
+		return nil, err
+	}
+	return &s, s.Job.Check()
+}
--- a/internal/messenger/stream.go
+++ b/internal/messenger/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -22,6 +23,11 @@
 	maxFrame = 16 << 20
 	// streamBuffer is what is read or written at once, in bytes.
 	streamBuffer = 32 << 10
+	// firstAlloc is how much memory a message is given before any of it has come.
+	firstAlloc = 1 << 20
+
+	// maxHeaders bounds the lines before a message.
+	maxHeaders = 16
 
 	headerLength = "Content-Length"
 	headerBatch  = "Batch-Method"
@@ -125,15 +131,19 @@
 // readFrame returns the next message; method is empty if it is no batch.
 func (s *stream) readFrame() (method Method, content []byte, err error) {
 	length := -1
-	for {
-		line, err := s.reader.ReadString('\n')
+	for n := 0; ; n++ {
+		// A line longer than the buffer is an error.
+		text, err := s.reader.ReadSlice('\n')
 		if err != nil {
 			return "", nil, errors.Wrap(err, "read header")
 		}
-		line = strings.TrimSpace(line)
+		line := strings.TrimSpace(string(text))
 		if line == "" {
 			break
 		}
+		if n == maxHeaders {
+			return "", nil, errors.Mark(errors.Newf("message has more than %d headers", maxHeaders), ErrFrame)
+		}
 		name, value, _ := strings.Cut(line, ":")
 		switch value = strings.TrimSpace(value); name {
 		case headerLength:
@@ -147,10 +157,22 @@
 	if length < 0 || length > maxFrame {
 		return "", nil, errors.Mark(errors.Newf("message of %d bytes", length), ErrFrame)
 	}
-	content = make([]byte, length)
-	_, err = io.ReadFull(s.reader, content)
+	content, err = s.readContent(length)
 	return method, content, errors.Wrap(err, "read message")
 }
 
+// readContent reads the content of a message. A large one takes memory as it comes.
+func (s *stream) readContent(length int) ([]byte, error) {
+	if length <= firstAlloc {
+		content := make([]byte, length)
+		_, err := io.ReadFull(s.reader, content)
+		return content, err
+	}
+	var content bytes.Buffer
+	content.Grow(firstAlloc)
+	_, err := io.CopyN(&content, s.reader, int64(length))
+	return content.Bytes(), err
+}
+
 // Close implements jsonrpc2.ObjectStream.
 func (s *stream) Close() error { return errors.Wrap(s.raw.Close(), "close connection") }
--- a/internal/messenger/stream_test.go
+++ b/internal/messenger/stream_test.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -87,11 +89,13 @@
 func TestMalformedFramesEndTheirConnection(t *testing.T) {
 	address := listen(t, echo, WithBatches(func(Peer, Method, []byte) {}))
 	tests := map[string]string{
-		"no length":       "Batch-Method: answers\r\n\r\n",
-		"length no count": "Content-Length: many\r\n\r\n",
-		"negative length": "Content-Length: -1\r\n\r\n",
-		"huge length":     fmt.Sprintf("Content-Length: %d\r\n\r\n", maxFrame+1),
-		"no JSON":         "Content-Length: 3\r\n\r\n{,}",
+		"no length":         "Batch-Method: answers\r\n\r\n",
+		"length no count":   "Content-Length: many\r\n\r\n",
+		"negative length":   "Content-Length: -1\r\n\r\n",
+		"huge length":       fmt.Sprintf("Content-Length: %d\r\n\r\n", maxFrame+1),
+		"no JSON":           "Content-Length: 3\r\n\r\n{,}",
+		"line without end":  strings.Repeat("x", 4*streamBuffer),
+		"lines without end": strings.Repeat("a: b\r\n", streamBuffer),
 	}
 	for name, sent := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -122,6 +126,50 @@
 	}
 }
 
+// TestClaimedLengthsTakeNoMemory checks that a message takes memory as it comes, not as it
+// says that it will.
+func TestClaimedLengthsTakeNoMemory(t *testing.T) {
+	const connections = 40
+	address := listen(t, echo)
+	used := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := used()
+	for range connections {
+		raw, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = raw.Close() }()
+		if _, err := fmt.Fprintf(raw, "Content-Length: %d\r\n\r\nx", maxFrame); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	if after := used(); after > before+connections*maxFrame/4 {
+		t.Errorf("%d MB are used for %d messages of which a byte each has come", (after-before)>>20, connections)
+	}
+}
+
+// TestLargeMessagesArrive checks messages around the sizes at which memory is taken.
+func TestLargeMessagesArrive(t *testing.T) {
+	peer, err := Dial(t.Context(), listen(t, echo), echo)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	for _, size := range []int{0, 1, firstAlloc - 20, firstAlloc, firstAlloc + 1, 5 * firstAlloc} {
+		want := strings.Repeat("x", size)
+		var got string
+		if err := peer.Call(t.Context(), MethodBeat, want, &got); err != nil || got != want {
+			t.Errorf("%d bytes: %d came back, %v", size, len(got), err)
+		}
+	}
+}
+
 // TestBatchesWithoutAHandlerAreDropped checks that calls go on over a connection whose
 // other side does not take batches.
 func TestBatchesWithoutAHandlerAreDropped(t *testing.T) {
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -267,7 +267,7 @@
 		return nil
 	}
 	groups := j.occurrences[name.Occurrence]
-	if name.Step >= len(groups) || name.Index >= len(groups[name.Step].tasks) {
+	if min(name.Step, name.Index) < 0 || name.Step >= len(groups) || name.Index >= len(groups[name.Step].tasks) {
 		return nil
 	}
 	return &groups[name.Step].tasks[name.Index]
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/balsamcove/balsamcove/internal/catcher"
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/estimator"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
@@ -54,8 +55,8 @@
 
 // DecodeJobRecord reads what Encode wrote; the error is marked ErrRecord.
 func DecodeJobRecord(data []byte) (JobRecord, error) {
-	var r JobRecord
-	if err := cbor.Unmarshal(data, &r); err != nil {
+	r, err := catcher.Unmarshal[JobRecord](cbor.Unmarshal, data)
+	if err != nil {
 		return JobRecord{}, errors.Mark(errors.Wrap(err, "decode job record"), ErrRecord)
 	}
 	return r, nil
@@ -261,7 +262,8 @@
 }
 
 func (p *Planner) restoreTask(j *job, rec TaskRecord) {
-	if rec.Step >= len(j.def.Steps) || rec.Index >= j.def.Steps[rec.Step].Count || rec.Occurrence >= j.times() {
+	if min(rec.Step, rec.Index, rec.Occurrence) < 0 ||
+		rec.Step >= len(j.def.Steps) || rec.Index >= j.def.Steps[rec.Step].Count || rec.Occurrence >= j.times() {
 		return
 	}
 	if j.occurrences[rec.Occurrence] == nil {
