Trial: no task that could run is left out, with workers that come and go

The randomized trial had six workers that always came back, and one kind of step. A second one has workers that leave for good, come back under their identity, are unlisted while they go on, answer again after their lease and then leave, drain, are evacuated and hang, beside late orders, stale directories and changes of the holder; and steps that last, serve, fill, may be copied or are spread.

--- a/internal/dispatcher/term_test.go
+++ b/internal/dispatcher/term_test.go
@@ -44,8 +44,12 @@
 	jobs   map[identifier.Job]submitter.Job
 	holder atomic.Pointer[holding]
 	names  int
-	stop   context.CancelFunc
-	ctx    context.Context
+	// look returns the directory.
+	look func() connector.Directory
+	// retention is how long ended jobs are remembered.
+	retention time.Duration
+	stop      context.CancelFunc
+	ctx       context.Context
 }
 
 // holding is a holder's term under way.
@@ -65,11 +69,12 @@
 
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{t: t, rand: rand.New(rand.NewPCG(seed, 2)), jobs: map[identifier.Job]submitter.Job{}, store: simulator.NewStore(1, seed)}
+	w.look, w.retention = w.directory, time.Minute
 	w.ctx, w.stop = context.WithCancel(t.Context())
 	w.fleet = simulator.NewFleet(seed, w.behave, w.size)
 	for i := range testWorkers {
 		w.fleet.Add(connector.WorkerEntry{
-			ID: workerID(i), Service: testService, Address: "x", DataCentre: "a",
+			ID: workerID(i), Service: testService, Address: string(workerID(i)), DataCentre: "a",
 			Capacity: identifier.Size{Processors: 8000, Memory: 16000},
 		})
 	}
@@ -108,13 +113,13 @@
 	h.kill = func() { cut(); cancel() }
 	go func() {
 		defer close(h.done)
-		_ = h.term.Load().Run(ctx, w.directory())
+		_ = h.term.Load().Run(ctx, w.look())
 		// The newest holder begins again after another was faster, as the member
 		// that the store has given the cell to does.
 		for ctx.Err() == nil && w.holder.Load() == h {
 			sleeper.Pause(ctx, 200*time.Millisecond)
 			h.term.Store(w.newTerm(h, runner))
-			_ = h.term.Load().Run(ctx, w.directory())
+			_ = h.term.Load().Run(ctx, w.look())
 		}
 	}()
 	go w.feed(ctx, h)
@@ -122,7 +127,9 @@
 }
 
 func (w *world) newTerm(h *holding, runner connector.Runner) *Term {
-	return NewTerm(0, settings(h.name), w.store.Client(h.name), runner, zap.NewNop(),
+	s := settings(h.name)
+	s.Planner.Retention = w.retention
+	return NewTerm(0, s, w.store.Client(h.name), runner, zap.NewNop(),
 		WithValidity(func() bool { return true }, func() time.Duration { return time.Since(time.Unix(0, h.lastSeen.Load())) }))
 }
 
@@ -136,7 +143,7 @@
 		cancel()
 		if err == nil {
 			h.lastSeen.Store(began.UnixNano())
-			h.term.Load().Notify(planner.DirectoryChanged{Directory: w.directory()})
+			h.term.Load().Notify(planner.DirectoryChanged{Directory: w.look()})
 		}
 		sleeper.Pause(ctx, 200*time.Millisecond)
 	}
--- a/internal/simulator/fleet.go
+++ b/internal/simulator/fleet.go
@@ -27,6 +27,10 @@
 	Late float64
 	// Failing makes every run fail.
 	Failing bool
+	// Hanging makes runs that begin stand still until they are stopped.
+	Hanging bool
+	// Unlisted keeps a worker that is up out of the directory.
+	Unlisted bool
 }
 
 // Behaviour says how the runs of a task go: how long one takes, and whether it
@@ -40,8 +44,11 @@
 	rand      *rand.Rand
 	behaviour Behaviour
 	sizes     func(identifier.JobTask) identifier.Size
-	workers   map[identifier.Worker]*simWorker
-	began     time.Time
+	copies    func(identifier.JobTask) bool
+	// longest is the longest lease that is granted; zero is without a bound.
+	longest time.Duration
+	workers map[identifier.Worker]*simWorker
+	began   time.Time
 
 	breaches []string
 	active   map[identifier.JobTask]map[connector.RunID]identifier.Worker
@@ -65,20 +72,43 @@
 	// the run up.
 	lapsed identifier.EndNumber
 	news   chan struct{}
+	// listedUntil is how long the directory shows a worker that is down.
+	listedUntil time.Time
+	// gone is set for a worker that never comes back.
+	gone bool
 }
 
 type simRun struct {
 	timer    *time.Timer
+	began    time.Time
+	took     time.Duration
+	hangs    bool
 	stopping bool
 }
 
+// FleetOption changes a new fleet.
+type FleetOption func(*Fleet)
+
+// WithCopies sets which tasks may have several runs at the same time.
+func WithCopies(allowed func(identifier.JobTask) bool) FleetOption {
+	return func(f *Fleet) { f.copies = allowed }
+}
+
+// WithLongestLease sets the longest lease that a worker grants; a longer one is shortened.
+func WithLongestLease(d time.Duration) FleetOption { return func(f *Fleet) { f.longest = d } }
+
 // NewFleet returns a fleet without workers. Sizes tells what a task reserves.
-func NewFleet(seed uint64, behaviour Behaviour, sizes func(identifier.JobTask) identifier.Size) *Fleet {
-	return &Fleet{
+func NewFleet(seed uint64, behaviour Behaviour, sizes func(identifier.JobTask) identifier.Size, opts ...FleetOption) *Fleet {
+	f := &Fleet{
 		mu: make(chan struct{}, 1), rand: rand.New(rand.NewPCG(seed, 1)), behaviour: behaviour, sizes: sizes,
 		workers: map[identifier.Worker]*simWorker{}, began: time.Now(),
 		active: map[identifier.JobTask]map[connector.RunID]identifier.Worker{}, done: map[identifier.JobTask]bool{},
+		copies: func(identifier.JobTask) bool { return false },
 	}
+	for _, o := range opts {
+		o(f)
+	}
+	return f
 }
 
 func (f *Fleet) lock()   { f.mu <- struct{}{} }
@@ -125,31 +155,15 @@
 		f.unlock()
 		return
 	}
-	w.up = false
-	for run, r := range w.runs {
-		r.timer.Stop()
-		f.forget(run)
-	}
-	w.runs = map[connector.RunID]*simRun{}
+	f.halt(w)
 	f.unlock()
 	time.AfterFunc(pause, func() {
 		f.lock()
 		defer f.unlock()
-		w.boot()
-	})
-}
-
-// Entries returns the workers as a directory shows them.
-func (f *Fleet) Entries() map[identifier.Worker]connector.WorkerEntry {
-	f.lock()
-	defer f.unlock()
-	out := map[identifier.Worker]connector.WorkerEntry{}
-	for id, w := range f.workers {
-		if w.up {
-			out[id] = w.entry
+		if !w.gone && !w.up {
+			w.boot()
 		}
-	}
-	return out
+	})
 }
 
 // Breaches returns what went wrong.
@@ -211,6 +225,10 @@
 	f.lock()
 	w, ok := f.workers[to.ID]
 	reachable := ok && w.up && !w.faults.Cut
+	if ok && w.gone && f.answers(to.Address) {
+		f.unlock()
+		return nil, 0, errOtherLife
+	}
 	if reachable && f.rand.Float64() < w.faults.Late {
 		late = time.Duration(f.rand.Int64N(int64(lateMost)))
 	}
@@ -228,6 +246,9 @@
 // renew extends the lease to a time of the worker's clock.
 func (f *Fleet) renew(w *simWorker, until connector.WorkerClock) {
 	end := w.born.Add(time.Duration(until))
+	if most := time.Now().Add(f.longest); f.longest > 0 && end.After(most) {
+		end = most
+	}
 	if !end.After(w.lease) {
 		return
 	}
@@ -280,6 +301,9 @@
 // order carries an order out, at once with an answer or late without.
 func (c *fleetClient) order(ctx context.Context, to connector.WorkerTarget, act func(w *simWorker) connector.OrderVerdict) (connector.OrderAnswer, error) {
 	w, late, err := c.reach(ctx, to)
+	if errors.Is(err, errOtherLife) {
+		return connector.OrderAnswer{Verdict: connector.VerdictOtherLife}, nil
+	}
 	if err != nil {
 		return connector.OrderAnswer{}, err
 	}
@@ -324,10 +348,10 @@
 func (f *Fleet) begin(w *simWorker, o connector.RunOrder) {
 	task := o.Run.Task
 	f.starts++
-	if len(f.active[task]) > 0 {
+	if len(f.active[task]) > 0 && !f.copies(task) {
 		f.breach("%s runs twice: attempt %d on %s beside %v", task, o.Run.Attempt, w.entry.ID, f.active[task])
 	}
-	if f.done[task] {
+	if f.done[task] && !f.copies(task) {
 		f.breach("%s started after it was done: attempt %d on %s", task, o.Run.Attempt, w.entry.ID)
 	}
 	if f.active[task] == nil {
@@ -339,11 +363,15 @@
 	if fails || w.faults.Failing {
 		how = connector.EndFailed
 	}
-	w.runs[o.Run] = &simRun{timer: time.AfterFunc(took, func() {
+	r := &simRun{began: time.Now(), took: took, hangs: w.faults.Hanging}
+	r.timer = time.AfterFunc(took, func() {
 		f.lock()
 		defer f.unlock()
-		f.end(w, o.Run, how)
-	})}
+		if w.runs[o.Run] == r && !r.hangs {
+			f.end(w, o.Run, how)
+		}
+	})
+	w.runs[o.Run] = r
 	f.checkRoom(w)
 }
 
@@ -376,7 +404,9 @@
 	time.AfterFunc(stopTime, func() {
 		f.lock()
 		defer f.unlock()
-		f.end(w, run, connector.EndStopped)
+		if w.runs[run] == r {
+			f.end(w, run, connector.EndStopped)
+		}
 	})
 	return connector.VerdictOK
 }
@@ -389,6 +419,9 @@
 // Hold implements connector.Runner.
 func (c *fleetClient) Hold(ctx context.Context, to connector.WorkerTarget, o connector.HoldOrder) (connector.HoldAnswer, error) {
 	w, late, err := c.reach(ctx, to)
+	if errors.Is(err, errOtherLife) {
+		return connector.HoldAnswer{OrderAnswer: connector.OrderAnswer{Verdict: connector.VerdictOtherLife}}, nil
+	}
 	if err != nil {
 		return connector.HoldAnswer{}, err
 	}
@@ -447,8 +480,8 @@
 		Born:        identifier.UnixMillis(w.born.UnixMilli()),
 		Ended:       append([]connector.EndedRun(nil), w.ends...),
 	}
-	for run := range w.runs {
-		out.Active = append(out.Active, connector.ActiveRun{Run: run})
+	for run, r := range w.runs {
+		out.Active = append(out.Active, connector.ActiveRun{Run: run, Percent: r.percent()})
 	}
 	return out
 }
