A run that was carried out late does not keep its task once its worker has left

Callers saw a task that could run and didn't, for ever: a worker whose lease was over answered again with a run that it had begun late, and left the directory before the next look. Its lease counted as over, yet a worker that was heard from after that was passed over when runs of silent workers are given up, and nothing looks at one that is not listed. The task stayed placed.

Runs that are listed after the lease, or that nobody here has claimed, are under a lease which is not known here. It now counts as the longest that a worker grants, from the answer on, so that the rule for silent workers holds without the exception.

TestTaskOfAWorkerThatLapsedAnsweredAndLeftGoesOn failed before: task in phase 2 with 1 runs, long after the lease.

--- /dev/null
+++ b/internal/planner/account_test.go
@@ -0,0 +1,56 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
+)
+
+// lapse starts a task on a worker that answers nothing until its lease is over.
+func lapse(b *bench) StartRun {
+	b.t.Helper()
+	b.update(0)
+	b.look("w", connector.HoldAnswer{OrderAnswer: connector.OrderAnswer{Clock: 1}, Born: 1})
+	s := b.startOne(submitter.Step{Count: 1, Size: small})
+	for range maxStartTries {
+		b.update(0, StartAnswered{Worker: "w", Run: s.Order.Run, Epoch: s.Order.Epoch, Err: errLost})
+	}
+	b.unanswered("w")
+	b.update(b.p.workers["w"].leaseEnd.Sub(b.now) + time.Millisecond)
+	if n := len(b.p.workers["w"].runs); n != 0 {
+		b.t.Fatalf("%d runs are held after the lease", n)
+	}
+	return s
+}
+
+// unanswered fails the look at a worker that is under way.
+func (b *bench) unanswered(id identifier.Worker) {
+	b.update(0, HoldAnswered{Worker: id, SentAt: b.now, Err: errLost})
+}
+
+// answer answers a look at a worker that was sent now.
+func (b *bench) answer(id identifier.Worker, a connector.HoldAnswer) {
+	a.Verdict = connector.VerdictOK
+	b.update(0, HoldAnswered{Worker: id, Order: connector.HoldOrder{Epoch: b.p.epochOf(b.p.workers[id])}, SentAt: b.now, Answer: a})
+}
+
+// TestTaskOfAWorkerThatLapsedAnsweredAndLeftGoesOn guards against a task that is kept for
+// ever by a run which was carried out late at a worker that has left since.
+func TestTaskOfAWorkerThatLapsedAnsweredAndLeftGoesOn(t *testing.T) {
+	b := newBench(t, workerEntry("w"), workerEntry("x"))
+	s := lapse(b)
+	delete(b.dir.Workers, "w")
+	b.answer("w", connector.HoldAnswer{Born: 1, Active: []connector.ActiveRun{{Run: s.Order.Run}}})
+	w := b.p.workers["w"]
+	b.update(b.p.settings.Lease - time.Millisecond)
+	if len(w.runs) != 1 {
+		t.Fatal("the run is given up while it may go on")
+	}
+	b.update(b.p.settings.Lease)
+	if t0 := b.p.taskOf(s.Order.Run.Task); t0.phase != taskReady {
+		t.Fatalf("task in phase %d with %d runs, long after the lease", t0.phase, len(t0.runs))
+	}
+}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -178,6 +178,9 @@
 	for _, ended := range e.Answer.Ended {
 		p.ended(w, ended)
 	}
+	if len(e.Answer.Active) > 0 && !p.now.Before(w.leaseEnd) {
+		p.noteUnknownLease(w)
+	}
 	for _, a := range e.Answer.Active {
 		if !a.Run.IsUnread() {
 			p.active(w, a)
@@ -244,6 +247,7 @@
 // room until its end, and stopped.
 func (p *Planner) stray(w *worker, a connector.ActiveRun) {
 	p.log.StrayRun(a.Run, w.id)
+	p.noteUnknownLease(w)
 	p.emit(StopRun{To: w.target(), Run: a.Run, Epoch: p.epochOf(w)})
 	t := p.taskOf(a.Run.Task)
 	if t == nil {
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -188,7 +188,7 @@
 			delete(p.doubted, w)
 			continue
 		}
-		if p.now.Before(w.leaseEnd) || w.heardAt.After(w.leaseEnd) {
+		if p.now.Before(w.leaseEnd) {
 			continue
 		}
 		if len(w.runs) > 0 {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -33,8 +33,9 @@
 	// of its identity. Without Cells all workers belong to the planner.
 	Cell  identifier.Cell
 	Cells int
-	// Lease is the longest lease that a worker grants.
-	Lease time.Duration
+	// Lease is the lease that workers are asked for, Granted the longest that one grants
+	// whatever it is asked for; without it that is Lease.
+	Lease, Granted time.Duration
 	// Inherited is how long after its start runs of earlier holders may go on at
 	// workers that do not answer.
 	Inherited time.Duration
@@ -145,6 +146,7 @@
 	if s.Lease <= 0 {
 		s.Lease = defaultLease
 	}
+	s.Granted = max(s.Granted, s.Lease)
 	p := &Planner{
 		settings: s, epoch: epoch, now: now, clock: time.Now, log: noLog{}, profile: &profiler.Clock{},
 		began:             now,
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -185,6 +185,13 @@
 	return until
 }
 
+// noteUnknownLease notes that a worker has runs under a lease which was not given here, or
+// which began later than was known: an order was carried out late, or by a later life of the
+// worker. They go on for the longest lease at most unless the worker is heard from.
+func (p *Planner) noteUnknownLease(w *worker) {
+	w.leaseEnd = later(w.leaseEnd, p.now.Add(time.Duration(float64(p.settings.Granted)/(1-clockDrift))))
+}
+
 // renewedBy notes that an order which renews the lease was answered.
 func (w *worker) renewedBy(a connector.OrderAnswer, now time.Time) {
 	w.renewed, w.renewedThrough = now, a.Through
