A refused start does not make its task ready beside a run that may go on

A task could run twice: with a run that was carried out late on one worker, a start on another that was refused (no room, fenced, no permit) made it ready, and it was placed a third time beside the first. Only some of the places that give a run up asked whether another run of the task is left. The question is now part of making a task ready, so that all of them ask it; a lasting task that says it is done asks too.

--- a/internal/planner/account_test.go
+++ b/internal/planner/account_test.go
@@ -54,3 +54,32 @@
 		t.Fatalf("task in phase %d with %d runs, long after the lease", t0.phase, len(t0.runs))
 	}
 }
+
+// TestRunRefusedBesideAnotherLeavesItsTaskPlaced guards against a second run of a task
+// beside one that goes on, after a start of a third was refused.
+func TestRunRefusedBesideAnotherLeavesItsTaskPlaced(t *testing.T) {
+	tests := map[string]connector.OrderVerdict{
+		"no room":    connector.VerdictRoom,
+		"fenced":     connector.VerdictFenced,
+		"no permit":  connector.VerdictTicket,
+		"other life": connector.VerdictOtherLife,
+	}
+	for name, verdict := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, workerEntry("w"), workerEntry("x"))
+			first := lapse(b)
+			b.answer("x", connector.HoldAnswer{OrderAnswer: connector.OrderAnswer{Clock: 1}, Born: 1})
+			b.save()
+			second := b.starts()
+			if len(second) != 1 || second[0].To.ID != "x" {
+				t.Fatalf("starts %v, want one on x", second)
+			}
+			b.p.workers["x"].sequence++
+			b.answer("w", connector.HoldAnswer{Born: 1, Active: []connector.ActiveRun{{Run: first.Order.Run}}})
+			b.update(0, StartAnswered{Worker: "x", Run: second[0].Order.Run, Epoch: second[0].Order.Epoch, Answer: connector.OrderAnswer{Verdict: verdict}})
+			if t0 := b.p.taskOf(first.Order.Run.Task); t0.phase != taskPlaced || len(t0.runs) != 1 {
+				t.Fatalf("task in phase %d with %d runs, want it placed with the one that goes on", t0.phase, len(t0.runs))
+			}
+		})
+	}
+}
--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -29,14 +29,12 @@
 // unclaim takes back a claim that was not yet sent to its worker.
 func (p *Planner) unclaim(r *run) {
 	p.forgetRun(r)
-	if r.task.phase == taskPlaced && len(r.task.runs) == 0 {
-		p.requeue(r.task)
-	}
+	p.requeue(r.task)
 }
 
-// requeue makes a task ready again unless its job has ended.
+// requeue makes a task ready again unless another run of it may go on, or its job has ended.
 func (p *Planner) requeue(t *task) {
-	if t.phase == taskDone || t.group.job.state.Ended() {
+	if len(t.runs) > 0 || t.phase == taskDone || t.group.job.state.Ended() {
 		return
 	}
 	p.setReady(t)
--- a/internal/planner/end.go
+++ b/internal/planner/end.go
@@ -65,9 +65,7 @@
 		p.taskFailed(t, w)
 	case connector.EndStopped, connector.EndLapsed, connector.EndBroken, connector.EndAlone:
 	}
-	if len(t.runs) == 0 {
-		p.requeue(t)
-	}
+	p.requeue(t)
 }
 
 // taskSucceeded finishes a task, and with a gang all of its members.
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -79,9 +79,7 @@
 	t := r.task
 	t.failedOn, t.notBefore = r.worker.id, p.now.Add(notSentPause)
 	p.forgetRun(r)
-	if len(t.runs) == 0 {
-		p.requeue(t)
-	}
+	p.requeue(t)
 }
 
 // doubt makes the next look at the worker decide about a run.
@@ -175,9 +173,7 @@
 	}
 	r.task.lost[r.id.Attempt] = struct{}{}
 	p.forgetRun(r)
-	if len(r.task.runs) == 0 {
-		p.requeue(r.task)
-	}
+	p.requeue(r.task)
 }
 
 // expireSilentWorkers gives up the runs of workers whose leases have certainly
