Claims whose round loses its last jobs to retirement are still sent

A task could stay claimed for ever, with its room: where more than 200 jobs are to be stored, a round takes several batches, and if the jobs that were left of it were retired before the last of these, the next round took its place together with the claims and ends that waited for it. A round is now open until what waits for it has gone on with a batch.

TestClaimsOutliveTheRetirementOfTheRestOfTheirRound failed before: 0 starts, want that of the claim.

--- a/internal/planner/account_test.go
+++ b/internal/planner/account_test.go
@@ -83,3 +83,34 @@
 		})
 	}
 }
+
+// TestClaimsOutliveTheRetirementOfTheRestOfTheirRound guards against claims that are never
+// sent since the last jobs of their round are retired before they are stored.
+func TestClaimsOutliveTheRetirementOfTheRestOfTheirRound(t *testing.T) {
+	b := newBench(t, workerEntry("w"))
+	b.update(0)
+	b.look("w", connector.HoldAnswer{})
+	const old identifier.Job = "00000000000000bb"
+	b.submit(old, submitter.Step{Count: 1, Size: small})
+	b.update(0, JobCancelled{ID: old})
+	b.save()
+	b.update(b.p.settings.Retention)
+	b.answer("w", connector.HoldAnswer{})
+	b.submit("00000000000000aa", submitter.Step{Count: 1, Size: small})
+	b.p.touch(b.p.jobs[old])
+	b.p.round = saveRound{jobs: b.p.dirty, claims: b.p.claims, ends: b.p.ends}
+	b.p.dirty, b.p.claims = map[*job]struct{}{}, nil
+	delete(b.p.round.jobs, b.p.jobs["00000000000000aa"])
+	b.p.retiredAt = time.Time{}
+	b.update(retireSlack)
+	if _, known := b.p.jobs[old]; known {
+		t.Fatal("the old job is not retired")
+	}
+	if !b.p.Dirty() {
+		t.Fatal("nothing is to be stored although a claim waits for it")
+	}
+	b.save()
+	if n := len(b.starts()); n != 1 {
+		t.Fatalf("%d starts, want that of the claim", n)
+	}
+}
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -99,11 +99,14 @@
 	ends   map[*worker]identifier.EndNumber
 }
 
+// open reports whether something of the round is still to be stored, or waits for that.
+func (r *saveRound) open() bool { return len(r.jobs) > 0 || len(r.claims) > 0 || len(r.ends) > 0 }
+
 func (p *Planner) touch(j *job) { p.dirty[j] = struct{}{} }
 
 // Dirty reports whether there is something to store.
 func (p *Planner) Dirty() bool {
-	return len(p.dirty) > 0 || len(p.round.jobs) > 0 || len(p.retired) > 0 || len(p.ends) > 0
+	return len(p.dirty) > 0 || p.round.open() || len(p.retired) > 0 || len(p.ends) > 0
 }
 
 // TakeBatch returns what has to be stored. The caller stores it and reports
@@ -116,7 +119,7 @@
 		p.harmsSaved = p.now
 		b.Harms = p.harm.Records()
 	}
-	if len(p.round.jobs) == 0 {
+	if !p.round.open() {
 		p.round = saveRound{p.dirty, p.claims, p.ends}
 		p.dirty, p.claims, p.ends = map[*job]struct{}{}, nil, map[*worker]identifier.EndNumber{}
 	}
