--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -120,9 +120,15 @@
 			return elsewhere.value, elsewhere.err
 		}
 	}
-	own := make(chan outcome[T], 1)
+	own, arrivals := make(chan outcome[T], 1), make(chan struct{}, 1)
+	ownCtx := connector.WithArrivals(ctx, func() {
+		select {
+		case arrivals <- struct{}{}:
+		default:
+		}
+	})
 	go func() {
-		value, err := call(ctx, s.own)
+		value, err := call(ownCtx, s.own)
 		own <- outcome[T]{value, err}
 	}()
 	if onDetour {
@@ -130,23 +136,39 @@
 		s.judge(out.err)
 		return better(out, elsewhere)
 	}
-	hedge := time.NewTimer(wait + hedgeAfter)
-	defer hedge.Stop()
-	select {
-	case out := <-own:
+	if out, ok := awaitOwn(own, arrivals, began, wait); ok {
 		s.judge(out.err)
 		if !helps(out.err) || ctx.Err() != nil {
 			return out.value, out.err
 		}
 		return better(out, throughPeers(ctx, s, wait, call))
-	case <-hedge.C:
-	case <-began:
 	}
 	peer := make(chan outcome[T], 1)
 	go func() { peer <- throughPeers(ctx, s, wait, call) }()
 	return first(s, own, peer)
 }
 
+// awaitOwn waits for the outcome of a call that was made here; ok is false once others
+// should be asked beside it, since the answer neither begins nor goes on, or since a detour
+// has begun before anything arrived.
+func awaitOwn[T any](own <-chan outcome[T], arrivals, began <-chan struct{}, wait time.Duration) (out outcome[T], ok bool) {
+	hedge := time.NewTimer(wait + hedgeAfter)
+	defer hedge.Stop()
+	for {
+		select {
+		case out = <-own:
+			return out, true
+		case <-arrivals:
+			hedge.Reset(hedgeAfter)
+			began = nil
+		case <-hedge.C:
+			return out, false
+		case <-began:
+			return out, false
+		}
+	}
+}
+
 // first returns the outcome that comes first and is a success, or else what both say.
 func first[T any](s *Store, own, peer chan outcome[T]) (T, error) {
 	select {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -228,3 +229,49 @@
 		t.Error(err)
 	}
 }
+
+// arriving is a store whose answer to a read keeps arriving for some time.
+type arriving struct {
+	connector.Store
+	parts int
+	pause time.Duration
+}
+
+// Read implements connector.Store.
+func (a arriving) Read(ctx context.Context, topic connector.Topic, part connector.Partition, from identifier.Offset, wait time.Duration) (connector.Reading, error) {
+	for range a.parts {
+		time.Sleep(a.pause)
+		connector.Arrived(ctx)
+	}
+	return a.Store.Read(ctx, topic, part, from, wait)
+}
+
+// TestArrivingAnswerIsNotAskedForTwice checks that a long answer of the store is not asked
+// for through other hosts as well, over the same link, while it keeps arriving.
+func TestArrivingAnswerIsNotAskedForTwice(t *testing.T) {
+	store := simulator.NewStore(1, 1)
+	if err := write(t, store.Client("before"), 1); err != nil {
+		t.Fatal(err)
+	}
+	tests := map[string]struct {
+		parts int
+		pause time.Duration
+		asked bool
+	}{
+		"arrives":        {12, 100 * time.Millisecond, false},
+		"does not begin": {1, 800 * time.Millisecond, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address := peer(t, store, "p1")
+			s := relayer.New(arriving{store.Client("self"), tt.parts, tt.pause}, zap.NewNop())
+			defer s.Close()
+			var asked atomic.Bool
+			s.UsePeers(func() []string { asked.Store(true); return []string{address} })
+			if _, err := s.Read(t.Context(), "work", 0, 0, 0); err != nil || asked.Load() != tt.asked {
+				t.Errorf("error %v, other hosts asked: %v", err, asked.Load())
+			}
+		})
+	}
+}
