--- a/internal/dialer/store.go
+++ b/internal/dialer/store.go
@@ -44,6 +44,9 @@
 		After     string              `json:"after,omitempty"`
 		From      identifier.Offset   `json:"from,omitempty"`
 		WaitMs    int64               `json:"waitMs,omitempty"`
+		// MaxBytes bounds the records of a read, of which there is at least one; zero leaves
+		// the bound to the host that reads.
+		MaxBytes int `json:"maxBytes,omitempty"`
 	}
 	// GroupCall names a member of a group.
 	GroupCall struct {
@@ -90,7 +93,12 @@
 
 // Read implements connector.Store.
 func (s *Store) Read(ctx context.Context, topic connector.Topic, part connector.Partition, from identifier.Offset, wait time.Duration) (out connector.Reading, err error) {
-	err = s.call(ctx, messenger.MethodRead, PartitionCall{Topic: topic, Partition: part, From: from, WaitMs: wait.Milliseconds()}, &out)
+	return s.ReadSome(ctx, topic, part, from, wait, 0)
+}
+
+// ReadSome reads as Read does, at most so many bytes of records if that is not zero.
+func (s *Store) ReadSome(ctx context.Context, topic connector.Topic, part connector.Partition, from identifier.Offset, wait time.Duration, most int) (out connector.Reading, err error) {
+	err = s.call(ctx, messenger.MethodRead, PartitionCall{Topic: topic, Partition: part, From: from, WaitMs: wait.Milliseconds(), MaxBytes: most}, &out)
 	return out, err
 }
 
--- a/internal/relayer/bound_test.go
+++ b/internal/relayer/bound_test.go
@@ -18,7 +18,7 @@
 	}
 	var lengths []int
 	for from := identifier.Offset(0); ; {
-		part := firstOf(connector.Reading{Records: r.Records[from:], Next: identifier.Offset(len(sizes))}, from)
+		part := firstOf(connector.Reading{Records: r.Records[from:], Next: identifier.Offset(len(sizes))}, from, 0)
 		lengths = append(lengths, len(part.Records))
 		if from = part.Next; !part.More {
 			break
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -230,6 +232,90 @@
 	}
 }
 
+// slowWay returns an address behind which a server is reached over a link that carries so
+// many bytes a second to this host.
+func slowWay(t *testing.T, address string, bytesPerSecond int) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			near, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", address)
+			if err != nil {
+				_ = near.Close()
+				return
+			}
+			go func() { _, _ = io.Copy(far, near); _ = far.Close() }()
+			go func() { throttle(near, far, bytesPerSecond); _ = near.Close() }()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// throttle copies so many bytes a second until either side ends.
+func throttle(to io.Writer, from io.Reader, bytesPerSecond int) {
+	part := make([]byte, 1<<10)
+	for {
+		n, err := from.Read(part)
+		if err != nil {
+			return
+		}
+		time.Sleep(time.Duration(n) * time.Second / time.Duration(bytesPerSecond))
+		if _, err := to.Write(part[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// TestReadsThroughOtherHostsFollowTheLink checks that a host which the store turns away, and
+// whose link is full of other messages, still reads what others read for it: more than the
+// link carries in time would be read in vain again and again.
+func TestReadsThroughOtherHostsFollowTheLink(t *testing.T) {
+	tests := map[string]struct{ records, size int }{
+		"many small records": {200, 1 << 10},
+		"one large record":   {1, 100 << 10},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const rest, within = 90_000, 10 * time.Second
+			store := simulator.NewStore(1, 1)
+			for i := range tt.records {
+				_, err := store.Client("worker").Append(t.Context(), connector.KeyedAppend{
+					Topic: "servers", Records: []connector.KeyedRecord{{Key: fmt.Sprint(i), Value: make([]byte, tt.size)}},
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+			}
+			store.SetFaults(simulator.StoreFaults{Refused: map[string]bool{"self": true}})
+			addresses := []string{
+				slowWay(t, peer(t, store, "p1"), rest), slowWay(t, peer(t, store, "p2"), rest),
+			}
+			s := relayer.New(store.Client("self"), zap.NewNop())
+			defer s.Close()
+			s.UsePeers(func() []string { return append([]string(nil), addresses...) })
+			next, more := identifier.Offset(0), true
+			for end := time.Now().Add(within); more; {
+				if time.Now().After(end) {
+					t.Fatalf("%d of %d records read within %v", next, tt.records, within)
+				}
+				r, err := s.Read(t.Context(), "servers", 0, next, 0)
+				if err == nil {
+					next, more = r.Next, r.More
+				}
+			}
+		})
+	}
+}
+
 // arriving is a store whose answer to a read keeps arriving for some time.
 type arriving struct {
 	connector.Store
--- a/internal/relayer/server.go
+++ b/internal/relayer/server.go
@@ -38,7 +38,7 @@
 	}),
 	messenger.MethodRead: decoded(func(ctx context.Context, s connector.Store, c dialer.PartitionCall) (connector.Reading, error) {
 		r, err := s.Read(ctx, c.Topic, c.Partition, c.From, time.Duration(c.WaitMs)*time.Millisecond)
-		return firstOf(r, c.From), err
+		return firstOf(r, c.From, c.MaxBytes), err
 	}),
 	messenger.MethodJoin: decoded(func(ctx context.Context, s connector.Store, c dialer.GroupCall) (connector.Membership, error) {
 		return s.Join(ctx, c.Group, c.Topic, c.Member, c.Generation, time.Duration(c.TTLMs)*time.Millisecond)
@@ -55,12 +55,16 @@
 // carries as JSON within half of peerTimeout.
 const relayedBytes = 36 << 10
 
-// firstOf returns the first records of a reading that may be relayed, at least one.
-func firstOf(r connector.Reading, from identifier.Offset) connector.Reading {
+// firstOf returns the first records of a reading that may be relayed, at least one; most is
+// what the other host asked for, or zero.
+func firstOf(r connector.Reading, from identifier.Offset, most int) connector.Reading {
+	if most <= 0 || most > relayedBytes {
+		most = relayedBytes
+	}
 	size := 0
 	for i, rec := range r.Records {
 		size += connector.Bytes(rec)
-		if i > 0 && size > relayedBytes {
+		if i > 0 && size > most {
 			return connector.Reading{Records: r.Records[:i], Next: from + identifier.Offset(i), More: true}
 		}
 	}
