--- a/internal/dialer/store.go
+++ b/internal/dialer/store.go
@@ -47,6 +47,8 @@
 		// MaxBytes bounds the records of a read, of which there is at least one; zero leaves
 		// the bound to the host that reads.
 		MaxBytes int `json:"maxBytes,omitempty"`
+		// Packed asks for a PackedReading, if the other side knows it.
+		Packed bool `json:"packed,omitempty"`
 	}
 	// GroupCall names a member of a group.
 	GroupCall struct {
@@ -93,13 +95,25 @@
 
 // Read implements connector.Store.
 func (s *Store) Read(ctx context.Context, topic connector.Topic, part connector.Partition, from identifier.Offset, wait time.Duration) (out connector.Reading, err error) {
-	return s.ReadSome(ctx, topic, part, from, wait, 0)
+	err = s.call(ctx, messenger.MethodRead, PartitionCall{Topic: topic, Partition: part, From: from, WaitMs: wait.Milliseconds()}, &out)
+	return out, err
 }
 
-// ReadSome reads as Read does, at most so many bytes of records if that is not zero.
-func (s *Store) ReadSome(ctx context.Context, topic connector.Topic, part connector.Partition, from identifier.Offset, wait time.Duration, most int) (out connector.Reading, err error) {
-	err = s.call(ctx, messenger.MethodRead, PartitionCall{Topic: topic, Partition: part, From: from, WaitMs: wait.Milliseconds(), MaxBytes: most}, &out)
-	return out, err
+// ReadSome reads as Read does, at most so many bytes of records if that is not zero, which
+// travel packed if the other side knows how.
+func (s *Store) ReadSome(ctx context.Context, topic connector.Topic, part connector.Partition, from identifier.Offset, wait time.Duration, most int) (connector.Reading, error) {
+	var out struct {
+		connector.Reading
+		PackedReading
+	}
+	err := s.call(ctx, messenger.MethodRead, PartitionCall{
+		Topic: topic, Partition: part, From: from, WaitMs: wait.Milliseconds(), MaxBytes: most, Packed: true,
+	}, &out)
+	if err != nil || len(out.Packed) == 0 {
+		return out.Reading, err
+	}
+	r, err := out.Unpack()
+	return r, errors.Mark(err, connector.ErrUnknown)
 }
 
 // Join implements connector.Store.
--- a/internal/relayer/pace.go
+++ b/internal/relayer/pace.go
@@ -2,32 +2,20 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
 )
 
-const (
-	// leastRelayed bounds the records of a relayed read however slow the links are, in
-	// bytes: some entries of workers.
-	leastRelayed = 4 << 10
-	// firstPatience is the time beyond the usual that is given to a read after one that was
-	// not answered in time, and mostPatience bounds it: a configuration of 300 KB as JSON
-	// over 2 Mbit/s.
-	firstPatience = 200 * time.Millisecond
-	mostPatience  = 2 * time.Second
-)
+// leastRelayed bounds the records of a relayed read however slow the links are, in bytes:
+// some entries of workers.
+const leastRelayed = 4 << 10
 
-// pace is how much is read of a topic through another host at a time, and how long that
-// may take beyond the usual. The link on which an answer is late may be full of other
-// messages, so that the same read would be late again: less is asked for, and one that
-// cannot be smaller gets more time. The zero value is ready for use.
-type pace struct {
-	bytes    int
-	patience time.Duration
-}
+// pace is how many bytes are read of a topic through another host at a time. The link on
+// which an answer is late may be full of other messages, so that the same read would be
+// late again. The zero value is ready for use.
+type pace struct{ bytes int }
 
 func (p pace) most() int {
 	if p.bytes == 0 {
@@ -40,11 +28,9 @@
 func (p pace) after(most int, r connector.Reading, err error) pace {
 	switch {
 	case errors.Is(err, connector.ErrUnknown):
-		return pace{max(most/2, leastRelayed), min(max(2*p.patience, firstPatience), mostPatience)}
+		return pace{max(most/2, leastRelayed)}
 	case err == nil && r.More:
-		return pace{min(most+most/4, relayedBytes), p.patience * 7 / 8}
-	case err == nil:
-		return pace{most, p.patience * 7 / 8}
+		return pace{min(most+most/4, relayedBytes)}
 	default:
 		return p
 	}
@@ -57,10 +43,10 @@
 	of map[connector.Topic]pace
 }
 
-func (p *paces) get(topic connector.Topic) pace {
+func (p *paces) most(topic connector.Topic) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.of[topic]
+	return p.of[topic].most()
 }
 
 func (p *paces) note(topic connector.Topic, most int, r connector.Reading, err error) {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -108,18 +108,16 @@
 	err   error
 }
 
-// times are how long a call may take beyond the usual, here and through other hosts: the
-// store may wait for records, or the links carry many.
-type times struct{ own, peer time.Duration }
-
 // relay makes a call here and, if that fails or takes long, through other hosts.
-func relay[T any](ctx context.Context, s *Store, wait times, call func(context.Context, connector.Store) (T, error)) (T, error) {
+// Wait is how long the call may take beyond the usual: the store may wait for records, or
+// the link carry many.
+func relay[T any](ctx context.Context, s *Store, wait time.Duration, call func(context.Context, connector.Store) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	elsewhere := outcome[T]{err: errNoPeer}
 	onDetour, began := s.way()
 	if onDetour {
-		if elsewhere = throughPeers(ctx, s, wait.peer, call); !helps(elsewhere.err) {
+		if elsewhere = throughPeers(ctx, s, wait, call); !helps(elsewhere.err) {
 			return elsewhere.value, elsewhere.err
 		}
 	}
@@ -139,15 +137,15 @@
 		s.judge(out.err)
 		return better(out, elsewhere)
 	}
-	if out, ok := awaitOwn(own, arrivals, began, wait.own); ok {
+	if out, ok := awaitOwn(own, arrivals, began, wait); ok {
 		s.judge(out.err)
 		if !helps(out.err) || ctx.Err() != nil {
 			return out.value, out.err
 		}
-		return better(out, throughPeers(ctx, s, wait.peer, call))
+		return better(out, throughPeers(ctx, s, wait, call))
 	}
 	peer := make(chan outcome[T], 1)
-	go func() { peer <- throughPeers(ctx, s, wait.peer, call) }()
+	go func() { peer <- throughPeers(ctx, s, wait, call) }()
 	return first(s, own, peer)
 }
 
@@ -320,39 +318,36 @@
 
 // Append implements connector.Store.
 func (s *Store) Append(ctx context.Context, a connector.KeyedAppend) (identifier.Offset, error) {
-	long := s.transferTime(connector.Bytes(a.Records...))
-	return relay(ctx, s, times{long, long}, func(ctx context.Context, st connector.Store) (identifier.Offset, error) { return st.Append(ctx, a) })
+	return relay(ctx, s, s.transferTime(a), func(ctx context.Context, st connector.Store) (identifier.Offset, error) { return st.Append(ctx, a) })
 }
 
 // jsonOverhead is how much longer bytes are as JSON.
 const jsonOverhead = 4. / 3
 
-// transferTime returns how long records take to or from another host, and between that and
+// transferTime returns how long the records of an append take to another host and on to
 // the store, if that host's link is no faster than this one's.
-func (s *Store) transferTime(bytes int) time.Duration {
+func (s *Store) transferTime(a connector.KeyedAppend) time.Duration {
 	if s.link <= 0 {
 		return 0
 	}
-	return time.Duration((1 + jsonOverhead) * float64(bytes) / float64(s.link) * float64(time.Second))
+	return time.Duration((1 + jsonOverhead) * float64(connector.Bytes(a.Records...)) / float64(s.link) * float64(time.Second))
 }
 
 // Newest implements connector.Store.
 func (s *Store) Newest(ctx context.Context, topic connector.Topic, part connector.Partition, after string) (connector.KeyedPage, error) {
-	return relay(ctx, s, times{}, func(ctx context.Context, st connector.Store) (connector.KeyedPage, error) {
+	return relay(ctx, s, 0, func(ctx context.Context, st connector.Store) (connector.KeyedPage, error) {
 		return st.Newest(ctx, topic, part, after)
 	})
 }
 
 // Read implements connector.Store.
 func (s *Store) Read(ctx context.Context, topic connector.Topic, part connector.Partition, from identifier.Offset, wait time.Duration) (connector.Reading, error) {
-	now := s.paces.get(topic)
-	through := wait + s.transferTime(now.most()) + now.patience
-	return relay(ctx, s, times{wait, through}, func(ctx context.Context, st connector.Store) (connector.Reading, error) {
+	return relay(ctx, s, wait, func(ctx context.Context, st connector.Store) (connector.Reading, error) {
 		other, ok := st.(otherHost)
 		if !ok {
 			return st.Read(ctx, topic, part, from, wait)
 		}
-		most := s.paces.get(topic).most()
+		most := s.paces.most(topic)
 		r, err := other.ReadSome(ctx, topic, part, from, wait, most)
 		s.paces.note(topic, most, r, err)
 		return r, err
@@ -361,14 +356,14 @@
 
 // Join implements connector.Store.
 func (s *Store) Join(ctx context.Context, group string, topic connector.Topic, member string, generation uint64, ttl time.Duration) (connector.Membership, error) {
-	return relay(ctx, s, times{}, func(ctx context.Context, st connector.Store) (connector.Membership, error) {
+	return relay(ctx, s, 0, func(ctx context.Context, st connector.Store) (connector.Membership, error) {
 		return st.Join(ctx, group, topic, member, generation, ttl)
 	})
 }
 
 // Leave implements connector.Store.
 func (s *Store) Leave(ctx context.Context, group, member string) error {
-	_, err := relay(ctx, s, times{}, func(ctx context.Context, st connector.Store) (struct{}, error) {
+	_, err := relay(ctx, s, 0, func(ctx context.Context, st connector.Store) (struct{}, error) {
 		return struct{}{}, st.Leave(ctx, group, member)
 	})
 	return err
@@ -376,7 +371,7 @@
 
 // Owners implements connector.Store.
 func (s *Store) Owners(ctx context.Context, group string) ([]connector.Ownership, error) {
-	return relay(ctx, s, times{}, func(ctx context.Context, st connector.Store) ([]connector.Ownership, error) {
+	return relay(ctx, s, 0, func(ctx context.Context, st connector.Store) ([]connector.Ownership, error) {
 		return st.Owners(ctx, group)
 	})
 }
--- a/internal/relayer/server.go
+++ b/internal/relayer/server.go
@@ -36,9 +36,12 @@
 	messenger.MethodNewest: decoded(func(ctx context.Context, s connector.Store, c dialer.PartitionCall) (connector.KeyedPage, error) {
 		return s.Newest(ctx, c.Topic, c.Partition, c.After)
 	}),
-	messenger.MethodRead: decoded(func(ctx context.Context, s connector.Store, c dialer.PartitionCall) (connector.Reading, error) {
+	messenger.MethodRead: decoded(func(ctx context.Context, s connector.Store, c dialer.PartitionCall) (any, error) {
 		r, err := s.Read(ctx, c.Topic, c.Partition, c.From, time.Duration(c.WaitMs)*time.Millisecond)
-		return firstOf(r, c.From, c.MaxBytes), err
+		if r = firstOf(r, c.From, c.MaxBytes); err != nil || !c.Packed {
+			return r, err
+		}
+		return dialer.Pack(r)
 	}),
 	messenger.MethodJoin: decoded(func(ctx context.Context, s connector.Store, c dialer.GroupCall) (connector.Membership, error) {
 		return s.Join(ctx, c.Group, c.Topic, c.Member, c.Generation, time.Duration(c.TTLMs)*time.Millisecond)
