A takeover reads the state of a cell as long as it keeps arriving

Cause: the read of the state, all of its pages, and the append that fences had 1.5 s together. 600 jobs are some 400 kB as base64, 1.6 s of a link of 2 Mbit/s. A state that always takes longer is never taken over: each try begins anew.

The read now ends when nothing has arrived for 1.5 s; the append has its own 1.5 s. The read of the inbox, which had no bound at all, ends the same way.

--- a/internal/connector/store.go
+++ b/internal/connector/store.go
@@ -140,6 +140,7 @@
 		if n == 0 {
 			end = page.End
 		}
+		Arrived(ctx)
 		records = append(records, page.Records...)
 		if !page.More {
 			return records, end, nil
@@ -179,18 +180,3 @@
 const mangled = string(unicode.ReplacementChar)
 
 func isMangled(key string) bool { return !utf8.ValidString(key) || strings.Contains(key, mangled) }
-
-type arrivalsKey struct{}
-
-// WithArrivals returns a context whose calls report each part of a large answer that has
-// arrived, which tells an answer that takes long from none.
-func WithArrivals(ctx context.Context, report func()) context.Context {
-	return context.WithValue(ctx, arrivalsKey{}, report)
-}
-
-// Arrived reports that a part of the answer to a call has arrived.
-func Arrived(ctx context.Context) {
-	if report, ok := ctx.Value(arrivalsKey{}).(func()); ok {
-		report()
-	}
-}
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -79,9 +79,7 @@
 }
 
 func (t *Term) tryFence(ctx context.Context) ([]connector.KeyedRecord, identifier.Epoch, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	records, end, err := connector.NewestAll(ctx, t.store, topicWork, connector.Partition(t.cell))
+	records, end, err := t.readNewest(ctx, topicWork)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -99,6 +97,8 @@
 		return nil, 0, errors.Wrap(err, "encode holder")
 	}
 	t.writer = connector.WriterID{Name: writerName, Epoch: epoch}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	_, err = t.store.Append(ctx, connector.KeyedAppend{
 		Topic: topicWork, Partition: connector.Partition(t.cell), At: &end, Writer: &t.writer,
 		Records: []connector.KeyedRecord{{Key: keyHolder, Value: value}},
@@ -109,6 +109,14 @@
 	return records, epoch, nil
 }
 
+// readNewest reads the newest records of the cell in a topic, which grow with its jobs: the
+// read takes as long as they keep arriving, since one that was given up would begin anew.
+func (t *Term) readNewest(ctx context.Context, topic connector.Topic) ([]connector.KeyedRecord, identifier.Offset, error) {
+	ctx, cancel := connector.WithSilence(ctx, storeTimeout)
+	defer cancel()
+	return connector.NewestAll(ctx, t.store, topic, connector.Partition(t.cell))
+}
+
 func (t *Term) holderOf(records []connector.KeyedRecord) (holderRecord, error) {
 	for _, r := range records {
 		if r.Key != keyHolder {
@@ -123,7 +131,7 @@
 
 func (t *Term) readInbox(ctx context.Context) ([]connector.KeyedRecord, identifier.Offset, error) {
 	for ctx.Err() == nil {
-		records, next, err := connector.NewestAll(ctx, t.store, intake.TopicInbox, connector.Partition(t.cell))
+		records, next, err := t.readNewest(ctx, intake.TopicInbox)
 		if err == nil {
 			sortByOffset(records)
 			return records, next, nil
