--- a/internal/dispatcher/owed_test.go
+++ b/internal/dispatcher/owed_test.go
@@ -25,6 +25,8 @@
 	// and owedLasting how long a task that lasts may be out.
 	owedTime    = 3 * time.Second
 	owedLasting = 6 * time.Second
+	// owedGap is the time between two submissions.
+	owedGap = 250 * time.Millisecond
 	// forEver is how long a run of a task that lasts takes.
 	forEver = time.Hour
 )
@@ -46,7 +48,7 @@
 	o := &owing{world: w, evacuated: map[identifier.DataCentre]bool{}, cancelled: map[identifier.Job]bool{}}
 	w.fleet = simulator.NewFleet(seed, o.behave, o.size, simulator.WithCopies(func(task identifier.JobTask) bool {
 		return w.jobs[task.Job].Steps[task.Step].Copies
-	}), simulator.WithLongestLease(testLease))
+	}), simulator.WithLongestLease(testLease), simulator.WithSlowClocks())
 	w.look, w.retention = o.directory, time.Hour
 	for range testWorkers {
 		o.arrive("")
@@ -112,6 +114,9 @@
 			job.Steps = []submitter.Step{{Count: count(4), Size: small, Scavenger: true, Image: "bill", Checkpoints: true}, {Count: count(4), Size: small, Scavenger: true, Image: "bill", After: []int{0}}}
 		case 2:
 			job.Steps = []submitter.Step{{Count: count(5), Size: small, Copies: true}, {Count: count(3), Size: large, Copies: true, After: []int{0}}}
+		case 3:
+			job.Schedule = &submitter.Schedule{First: identifier.UnixMillis(time.Now().Add(time.Duration(n) * owedGap).UnixMilli()), Period: identifier.Duration(4 * time.Second), Times: 1 + o.rand.IntN(3)}
+			job.Steps = []submitter.Step{{Count: count(3), Size: large}, {Count: count(3), Size: small, After: []int{0}}}
 		default:
 			job.Steps = []submitter.Step{{Count: count(5), Size: small, MaxPerWorker: o.rand.IntN(3)}, {Count: count(5), Size: large, After: []int{0}}}
 		}
@@ -215,6 +220,13 @@
 	o.fault(o.some(), simulator.WorkerFaults{Hanging: true}, o.within(6*time.Second))
 }
 
+// slows makes many answers come late or not in time, and some orders refused.
+func slows(o *owing) {
+	for range testWorkers / 2 {
+		o.fault(o.some(), simulator.WorkerFaults{Slow: 700 * time.Millisecond, Refusing: 0.2}, o.within(6*time.Second))
+	}
+}
+
 func late(o *owing) {
 	for range 3 {
 		o.fault(o.some(), simulator.WorkerFaults{Late: 0.4}, o.within(5*time.Second))
@@ -259,10 +271,11 @@
 		"workers return":    {comesBack, late, comesBack, late, comesBack, comesBack},
 		"unlisted":          {unlisted, late, unlisted, unlisted, comesBack},
 		"lapse and leave":   {lapses, lapses, late, lapses},
+		"slow answers":      {slows, slows, late, slows, comesBack, slows},
 		"drains":            {drains, evacuates, drains, hangs, drains, stale},
 		"holders and lives": {old(killHolder), comesBack, leaves, old(replaceHolder), lapses, unlisted, late},
 		"all together": {
-			late, leaves, comesBack, unlisted, lapses, drains, evacuates, hangs, stale, cancels, crashes, cut,
+			late, slows, leaves, comesBack, unlisted, lapses, drains, evacuates, hangs, stale, cancels, crashes, cut,
 			old(killHolder), old(answersLost), old(storeDown), old(replaceHolder), old(holderRefused), late, comesBack, lapses,
 		},
 	}
@@ -285,7 +298,7 @@
 	go func() {
 		for n := range testJobs {
 			o.submit(o.jobs[jobID(n)])
-			sleeper.Pause(o.ctx, 250*time.Millisecond)
+			sleeper.Pause(o.ctx, owedGap)
 		}
 	}()
 	time.Sleep(2 * time.Second)
@@ -365,12 +378,26 @@
 
 // turns returns how many tasks of a job run, and which could and do not.
 func (o *owing) turns(job submitter.Job) (running int, out []identifier.JobTask) {
+	if job.Schedule == nil {
+		return o.turnsOf(job, 0)
+	}
+	for k := range job.Schedule.Times {
+		if !time.Now().Before(job.Schedule.Due(k)) {
+			n, tasks := o.turnsOf(job, k)
+			running += n
+			out = append(out, tasks...)
+		}
+	}
+	return running, out
+}
+
+func (o *owing) turnsOf(job submitter.Job, occurrence int) (running int, out []identifier.JobTask) {
 	done := make([]bool, len(job.Steps))
 	for i, s := range job.Steps {
 		ready := !slices.ContainsFunc(s.After, func(a int) bool { return !done[a] })
 		done[i] = true
 		for n := range s.Count {
-			task := identifier.JobTask{Job: job.ID, Step: i, Index: n}
+			task := identifier.JobTask{Job: job.ID, Occurrence: occurrence, Step: i, Index: n}
 			switch {
 			case o.fleet.Running(task):
 				running++
--- a/internal/simulator/fleet.go
+++ b/internal/simulator/fleet.go
@@ -17,6 +17,8 @@
 	stopTime = 100 * time.Millisecond
 	// lateMost is the most by which an order without an answer is late.
 	lateMost = 6 * time.Second
+	// slowClock is the pace of a clock that is slow.
+	slowClock = 0.98
 )
 
 // WorkerFaults say how a worker misbehaves. The zero value is one that works.
@@ -29,6 +31,10 @@
 	Failing bool
 	// Hanging makes runs that begin stand still until they are stopped.
 	Hanging bool
+	// Refusing is the share of orders that are refused.
+	Refusing float64
+	// Slow is the most by which answers to orders that were carried out are late.
+	Slow time.Duration
 	// Unlisted keeps a worker that is up out of the directory.
 	Unlisted bool
 }
@@ -47,8 +53,10 @@
 	copies    func(identifier.JobTask) bool
 	// longest is the longest lease that is granted; zero is without a bound.
 	longest time.Duration
-	workers map[identifier.Worker]*simWorker
-	began   time.Time
+	// slowClocks is set if every second worker has a slow clock.
+	slowClocks bool
+	workers    map[identifier.Worker]*simWorker
+	began      time.Time
 
 	breaches []string
 	active   map[identifier.JobTask]map[connector.RunID]identifier.Worker
@@ -74,6 +82,8 @@
 	news   chan struct{}
 	// listedUntil is how long the directory shows a worker that is down.
 	listedUntil time.Time
+	// slow is set for a worker with a slow clock.
+	slow bool
 	// gone is set for a worker that never comes back.
 	gone bool
 }
@@ -97,6 +107,9 @@
 // WithLongestLease sets the longest lease that a worker grants; a longer one is shortened.
 func WithLongestLease(d time.Duration) FleetOption { return func(f *Fleet) { f.longest = d } }
 
+// WithSlowClocks gives every second worker a slow clock.
+func WithSlowClocks() FleetOption { return func(f *Fleet) { f.slowClocks = true } }
+
 // NewFleet returns a fleet without workers. Sizes tells what a task reserves.
 func NewFleet(seed uint64, behaviour Behaviour, sizes func(identifier.JobTask) identifier.Size, opts ...FleetOption) *Fleet {
 	f := &Fleet{
@@ -118,7 +131,7 @@
 func (f *Fleet) Add(e connector.WorkerEntry) {
 	f.lock()
 	defer f.unlock()
-	w := &simWorker{entry: e}
+	w := &simWorker{entry: e, slow: f.slowClocks && len(f.workers)%2 == 1}
 	w.boot()
 	f.workers[e.ID] = w
 }
@@ -241,11 +254,21 @@
 }
 
 // clock returns the worker's own clock.
-func (w *simWorker) clock() connector.WorkerClock { return connector.WorkerClock(time.Since(w.born)) }
+func (w *simWorker) clock() connector.WorkerClock {
+	return connector.WorkerClock(float64(time.Since(w.born)) * w.pace())
+}
+
+// pace returns how fast the worker's clock goes.
+func (w *simWorker) pace() float64 {
+	if w.slow {
+		return slowClock
+	}
+	return 1
+}
 
 // renew extends the lease to a time of the worker's clock.
 func (f *Fleet) renew(w *simWorker, until connector.WorkerClock) {
-	end := w.born.Add(time.Duration(until))
+	end := w.born.Add(time.Duration(float64(until) / w.pace()))
 	if most := time.Now().Add(f.longest); f.longest > 0 && end.After(most) {
 		end = most
 	}
@@ -321,8 +344,21 @@
 		return connector.OrderAnswer{}, errors.Mark(ErrDown, connector.ErrUnknown)
 	}
 	f.lock()
-	defer f.unlock()
-	return connector.OrderAnswer{Verdict: act(w), Clock: w.clock()}, nil
+	verdict := connector.VerdictUnhealthy
+	if f.rand.Float64() >= w.faults.Refusing {
+		verdict = act(w)
+	}
+	answer, late := connector.OrderAnswer{Verdict: verdict, Clock: w.clock()}, f.delay(w)
+	f.unlock()
+	return answer, wait(ctx, late)
+}
+
+// delay returns by how much the next answer of a worker is late.
+func (f *Fleet) delay(w *simWorker) time.Duration {
+	if w.faults.Slow == 0 {
+		return 0
+	}
+	return time.Duration(f.rand.Int64N(int64(w.faults.Slow)))
 }
 
 func (f *Fleet) start(w *simWorker, o connector.RunOrder) connector.OrderVerdict {
@@ -450,13 +486,13 @@
 	}
 	f.lock()
 	cut := !w.up || w.faults.Cut || late > 0
-	out := w.describe()
+	out, delay := w.describe(), f.delay(w)
 	f.unlock()
 	if cut {
 		<-ctx.Done()
 		return connector.HoldAnswer{}, errors.Mark(ErrDown, connector.ErrUnknown)
 	}
-	return out, nil
+	return out, wait(ctx, delay)
 }
 
 // acknowledge forgets ends; one that is done counts from then on.
