The number of cells follows the workers of a deployment

The number of cells was a constant, one.

Hosts now agree on it once, in the store: the first that writes counts the workers, one cell for each 900, and what it wrote holds for good, since jobs and workers are dealt to cells by their identities. Large hosts decide first, so that not all read the list. A deployment with jobs but no layout has one cell, as before.

--- /dev/null
+++ b/internal/sharder/sharder.go
@@ -0,0 +1,210 @@
+// Package sharder agrees, for all hosts of a deployment and for good, on how many cells its
+// jobs and workers are split into. One host decides for each cell, so that the number
+// follows from how many workers one decides for.
+package sharder
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/intake"
+	"github.com/balsamcove/balsamcove/internal/logger"
+	"github.com/balsamcove/balsamcove/internal/sleeper"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+)
+
+const (
+	// topicLayout holds one record, which the first host to write it decides.
+	topicLayout connector.Topic = "layout"
+	keyCells                    = "cells"
+
+	// WorkersPerCell is how many workers one host decides for: with 1,800 its processor
+	// bounds the starts a second (docs/CAPACITY.md).
+	WorkersPerCell = 900
+	// MaxCells bounds the cells: each is a partition of the store's topics.
+	MaxCells = 12
+
+	// storeTimeout bounds one try.
+	storeTimeout = 3 * time.Second
+	// retryPause is the pause after a failed call of the store.
+	retryPause = 100 * time.Millisecond
+	// settlePause is the time between two counts of the workers, longer than the period at
+	// which they report; of a deployment that starts as a whole, some are not there yet.
+	settlePause = 1200 * time.Millisecond
+	// settleTries bounds the counts.
+	settleTries = 4
+)
+
+// ErrLayout marks a record of the layout that cannot be used.
+var ErrLayout = errors.New("layout cannot be used")
+
+// layout is the record.
+type layout struct {
+	Cells int `cbor:"1,keyasint"`
+}
+
+// Sharder finds the number of cells in the store, or decides it.
+type Sharder struct {
+	store  connector.Store
+	count  func(context.Context) (int, error)
+	delay  time.Duration
+	logger *zap.Logger
+}
+
+// Option changes a new sharder.
+type Option func(*Sharder)
+
+// WithDelay sets for how long a host leaves the decision to others, so that not all of
+// them read the list of workers.
+func WithDelay(d time.Duration) Option { return func(s *Sharder) { s.delay = d } }
+
+// New returns a sharder; count tells how many workers there are now.
+func New(store connector.Store, count func(context.Context) (int, error), logger *zap.Logger, opts ...Option) *Sharder {
+	s := &Sharder{store: store, count: count, logger: logger}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
+}
+
+// Agree returns the number of cells, the same on all hosts. It tries until the store says
+// so or ctx ends, whose error it returns then.
+func (s *Sharder) Agree(ctx context.Context) (cells int, err error) {
+	source := logger.Dependency{Name: "layout of cells", Logger: s.logger}
+	for waited := false; ctx.Err() == nil; {
+		cells, err = s.find(ctx)
+		switch {
+		case err != nil:
+		case cells > 0:
+			source.Report(nil)
+			s.logger.Info("layout in force", zap.Int("cells", cells))
+			return cells, nil
+		case !waited:
+			waited = true
+			s.waitForOthers(ctx)
+			continue
+		default:
+			if err = s.propose(ctx); err == nil || errors.Is(err, connector.ErrConflict) {
+				continue
+			}
+		}
+		source.Report(err)
+		sleeper.Pause(ctx, retryPause)
+	}
+	return 0, errors.Wrap(ctx.Err(), "agree on cells")
+}
+
+// waitForOthers returns when a layout is there, or after the delay.
+func (s *Sharder) waitForOthers(ctx context.Context) {
+	began := time.Now()
+	if _, err := s.store.Read(ctx, topicLayout, 0, 0, s.delay); err != nil {
+		sleeper.Pause(ctx, s.delay-time.Since(began))
+	}
+}
+
+// find returns the number of cells that is stored, or zero.
+func (s *Sharder) find(ctx context.Context) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	records, _, err := connector.NewestAll(ctx, s.store, topicLayout, 0)
+	if err != nil {
+		return 0, err
+	}
+	for _, r := range records {
+		if r.Key == keyCells {
+			return decode(r.Value)
+		}
+	}
+	return 0, nil
+}
+
+func decode(value []byte) (int, error) {
+	var l layout
+	if err := cbor.Unmarshal(value, &l); err != nil {
+		return 0, errors.Mark(errors.Wrap(err, "decode layout"), ErrLayout)
+	}
+	if l.Cells < 1 || l.Cells > MaxCells {
+		return 0, errors.Mark(errors.Newf("layout has %d cells", l.Cells), ErrLayout)
+	}
+	return l.Cells, nil
+}
+
+// propose stores a number of cells unless another host was first, which the store tells by
+// a conflict.
+func (s *Sharder) propose(ctx context.Context) error {
+	cells, err := s.decide(ctx)
+	if err != nil {
+		return err
+	}
+	value, err := cbor.Marshal(layout{cells})
+	if err != nil {
+		return errors.Wrap(err, "encode layout")
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err = s.store.Append(ctx, connector.KeyedAppend{
+		Topic: topicLayout, At: new(identifier.Offset),
+		Records: []connector.KeyedRecord{{Key: keyCells, Value: value}},
+	})
+	return err
+}
+
+// decide returns the number of cells for the workers that there are. Jobs of a release
+// without a layout are all in one cell.
+func (s *Sharder) decide(ctx context.Context) (int, error) {
+	used, err := s.isUsed(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if used {
+		return 1, nil
+	}
+	workers, err := s.settle(ctx)
+	if err != nil {
+		return 0, err
+	}
+	cells := CellsFor(workers)
+	s.logger.Info("layout proposed", zap.Int("workers", workers), zap.Int("cells", cells))
+	return cells, nil
+}
+
+// isUsed reports whether a job was ever submitted.
+func (s *Sharder) isUsed(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	page, err := s.store.Newest(ctx, intake.TopicInbox, 0, "")
+	return page.End > 0, err
+}
+
+// settle counts the workers until no more come.
+func (s *Sharder) settle(ctx context.Context) (int, error) {
+	before := 0
+	for range settleTries {
+		n, err := s.countOnce(ctx)
+		if err != nil {
+			return 0, err
+		}
+		if n > 0 && n <= before {
+			return before, nil
+		}
+		before = max(before, n)
+		sleeper.Pause(ctx, settlePause)
+	}
+	return before, ctx.Err()
+}
+
+func (s *Sharder) countOnce(ctx context.Context) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return s.count(ctx)
+}
+
+// CellsFor returns the number of cells for a number of workers.
+func CellsFor(workers int) int {
+	return min(max((workers+WorkersPerCell-1)/WorkersPerCell, 1), MaxCells)
+}
--- /dev/null
+++ b/internal/sharder/sharder_test.go
@@ -0,0 +1,162 @@
+package sharder
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/intake"
+	"github.com/balsamcove/balsamcove/internal/simulator"
+)
+
+// counting returns counts one after the other; the last one stays.
+func counting(counts ...int) func(context.Context) (int, error) {
+	var mu sync.Mutex
+	return func(context.Context) (int, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		n := counts[0]
+		if len(counts) > 1 {
+			counts = counts[1:]
+		}
+		return n, nil
+	}
+}
+
+func put(t *testing.T, store *simulator.Store, topic connector.Topic, key string, value []byte) {
+	t.Helper()
+	_, err := store.Client("other").Append(t.Context(), connector.KeyedAppend{
+		Topic: topic, Records: []connector.KeyedRecord{{Key: key, Value: value}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestCellsFollowTheWorkers checks the number of cells of a deployment that starts.
+func TestCellsFollowTheWorkers(t *testing.T) {
+	tests := map[string]struct {
+		counts []int
+		want   int
+	}{
+		"no workers":         {[]int{0}, 1},
+		"few":                {[]int{66}, 1},
+		"one cell's":         {[]int{WorkersPerCell}, 1},
+		"one more":           {[]int{WorkersPerCell + 1}, 2},
+		"target":             {[]int{4800}, 6},
+		"beyond all":         {[]int{1_000_000}, MaxCells},
+		"they come late":     {[]int{0, 0, 1800}, 2},
+		"they come by turns": {[]int{10, 900, 1800, 1800}, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := simulator.NewStore(1, 1)
+				got, err := New(store.Client("a"), counting(tt.counts...), zap.NewNop()).Agree(t.Context())
+				if err != nil || got != tt.want {
+					t.Errorf("%d cells, %v, want %d", got, err, tt.want)
+				}
+			})
+		})
+	}
+}
+
+// TestHostsAgreeOnCells checks that hosts which count differently, start at the same time
+// and later, and lose answers of the store all use the same number of cells.
+func TestHostsAgreeOnCells(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			store := simulator.NewStore(1, seed)
+			store.SetFaults(simulator.StoreFaults{LoseAnswers: 0.5, Slow: 20 * time.Millisecond})
+			var mu sync.Mutex
+			seen := map[int]int{}
+			var wg sync.WaitGroup
+			for n := range 12 {
+				wg.Go(func() {
+					time.Sleep(time.Duration(n/4) * 900 * time.Millisecond)
+					s := New(store.Client("host"), counting(600+n*300), zap.NewNop(), WithDelay(time.Duration(n%4)*400*time.Millisecond))
+					cells, err := s.Agree(t.Context())
+					if err != nil {
+						t.Error(err)
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					seen[cells]++
+				})
+			}
+			wg.Wait()
+			if len(seen) != 1 {
+				t.Errorf("seed %d: hosts use %v", seed, seen)
+			}
+		})
+	}
+}
+
+// TestJobsOfEarlierReleasesStayInTheirCell checks that a deployment which has jobs but no
+// layout keeps the one cell that it has.
+func TestJobsOfEarlierReleasesStayInTheirCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := simulator.NewStore(1, 1)
+		put(t, store, intake.TopicInbox, "s0", []byte{1})
+		got, err := New(store.Client("a"), counting(1800), zap.NewNop()).Agree(t.Context())
+		if err != nil || got != 1 {
+			t.Errorf("%d cells, %v, want 1", got, err)
+		}
+	})
+}
+
+// TestUnreadableLayoutIsNotGuessed checks that a host without a usable layout uses none,
+// and finds it when it can be read again.
+func TestUnreadableLayoutIsNotGuessed(t *testing.T) {
+	many, err := cbor.Marshal(layout{MaxCells + 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	two, err := cbor.Marshal(layout{2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range map[string][]byte{"no record": {0xff}, "too many cells": many} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := simulator.NewStore(1, 1)
+				put(t, store, topicLayout, keyCells, value)
+				s := New(store.Client("a"), counting(1800), zap.NewNop())
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				if n, err := s.Agree(ctx); err == nil {
+					t.Errorf("%d cells without a layout", n)
+				}
+				put(t, store, topicLayout, keyCells, two)
+				if n, err := s.Agree(t.Context()); err != nil || n != 2 {
+					t.Errorf("%d cells, %v, want 2", n, err)
+				}
+			})
+		})
+	}
+}
+
+// TestOneHostCountsForAll checks that hosts which leave the decision to others do not read
+// the list of workers.
+func TestOneHostCountsForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := simulator.NewStore(1, 1)
+		go func() {
+			_, _ = New(store.Client("large"), counting(1800), zap.NewNop()).Agree(t.Context())
+		}()
+		never := func(context.Context) (int, error) {
+			t.Error("the workers were counted")
+			return 1, nil
+		}
+		got, err := New(store.Client("small"), never, zap.NewNop(), WithDelay(4*time.Second)).Agree(t.Context())
+		if err != nil || got != 2 {
+			t.Errorf("%d cells, %v, want 2", got, err)
+		}
+	})
+}
