--- a/internal/sharder/sharder.go
+++ b/internal/sharder/sharder.go
@@ -18,10 +18,11 @@
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
 
+// topicLayout holds one record, which the first host to write it decides.
+const topicLayout connector.Topic = "layout"
+
 const (
-	// topicLayout holds one record, which the first host to write it decides.
-	topicLayout connector.Topic = "layout"
-	keyCells                    = "cells"
+	keyCells = "cells"
 
 	// WorkersPerCell is how many workers one host decides for: with 1,800 its processor
 	// bounds the starts a second (docs/CAPACITY.md).
@@ -29,15 +30,14 @@
 	// MaxCells bounds the cells: each is a partition of the store's topics.
 	MaxCells = 12
 
-	// storeTimeout bounds one try.
+	// storeTimeout bounds the calls of the store that belong together.
 	storeTimeout = 3 * time.Second
-	// retryPause is the pause after a failed call of the store.
-	retryPause = 100 * time.Millisecond
-	// settlePause is the time between two counts of the workers, longer than the period at
-	// which they report; of a deployment that starts as a whole, some are not there yet.
-	settlePause = 1200 * time.Millisecond
-	// settleTries bounds the counts.
-	settleTries = 4
+	// pause is the time between two tries, and between two counts of the workers: while a
+	// large deployment starts, many report within it.
+	pause = 300 * time.Millisecond
+	// maxCounts bounds the counts; workers report about once a second, some 4 s after the
+	// hosts have started.
+	maxCounts = 30
 )
 
 // ErrLayout marks a record of the layout that cannot be used.
@@ -74,10 +74,12 @@
 
 // Agree returns the number of cells, the same on all hosts. It tries until the store says
 // so or ctx ends, whose error it returns then.
-func (s *Sharder) Agree(ctx context.Context) (cells int, err error) {
+func (s *Sharder) Agree(ctx context.Context) (int, error) {
 	source := logger.Dependency{Name: "layout of cells", Logger: s.logger}
-	for waited := false; ctx.Err() == nil; {
-		cells, err = s.find(ctx)
+	waited := false
+	var seen census
+	for ctx.Err() == nil {
+		cells, err := s.find(ctx)
 		switch {
 		case err != nil:
 		case cells > 0:
@@ -89,12 +91,13 @@
 			s.waitForOthers(ctx)
 			continue
 		default:
-			if err = s.propose(ctx); err == nil || errors.Is(err, connector.ErrConflict) {
-				continue
-			}
+			err = s.propose(ctx, &seen)
+		}
+		if errors.Is(err, connector.ErrConflict) {
+			err = nil
 		}
 		source.Report(err)
-		sleeper.Pause(ctx, retryPause)
+		sleeper.Pause(ctx, pause)
 	}
 	return 0, errors.Wrap(ctx.Err(), "agree on cells")
 }
@@ -134,19 +137,19 @@
 	return l.Cells, nil
 }
 
-// propose stores a number of cells unless another host was first, which the store tells by
-// a conflict.
-func (s *Sharder) propose(ctx context.Context) error {
-	cells, err := s.decide(ctx)
-	if err != nil {
+// propose stores a number of cells once it is certain enough, unless another host was first,
+// which the store tells by a conflict.
+func (s *Sharder) propose(ctx context.Context, seen *census) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	cells, err := s.decide(ctx, seen)
+	if cells == 0 || err != nil {
 		return err
 	}
 	value, err := cbor.Marshal(layout{cells})
 	if err != nil {
 		return errors.Wrap(err, "encode layout")
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
 	_, err = s.store.Append(ctx, connector.KeyedAppend{
 		Topic: topicLayout, At: new(identifier.Offset),
 		Records: []connector.KeyedRecord{{Key: keyCells, Value: value}},
@@ -154,18 +157,18 @@
 	return err
 }
 
-// decide returns the number of cells for the workers that there are. Jobs of a release
-// without a layout are all in one cell.
-func (s *Sharder) decide(ctx context.Context) (int, error) {
-	used, err := s.isUsed(ctx)
+// decide returns the number of cells for the workers that there are; zero while more of
+// them come. Jobs of a release without a layout are all in one cell.
+func (s *Sharder) decide(ctx context.Context, seen *census) (int, error) {
+	page, err := s.store.Newest(ctx, intake.TopicInbox, 0, "")
 	if err != nil {
 		return 0, err
 	}
-	if used {
+	if page.End > 0 {
 		return 1, nil
 	}
-	workers, err := s.settle(ctx)
-	if err != nil {
+	workers, err := s.count(ctx)
+	if err != nil || !seen.settled(workers) {
 		return 0, err
 	}
 	cells := CellsFor(workers)
@@ -173,35 +176,18 @@
 	return cells, nil
 }
 
-// isUsed reports whether a job was ever submitted.
-func (s *Sharder) isUsed(ctx context.Context) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	page, err := s.store.Newest(ctx, intake.TopicInbox, 0, "")
-	return page.End > 0, err
+// census compares counts of the workers. Those of a deployment that starts as a whole
+// come one after the other, each with its first report.
+type census struct {
+	counts  int
+	workers int
 }
 
-// settle counts the workers until no more come.
-func (s *Sharder) settle(ctx context.Context) (int, error) {
-	before := 0
-	for range settleTries {
-		n, err := s.countOnce(ctx)
-		if err != nil {
-			return 0, err
-		}
-		if n > 0 && n <= before {
-			return before, nil
-		}
-		before = max(before, n)
-		sleeper.Pause(ctx, settlePause)
-	}
-	return before, ctx.Err()
-}
-
-func (s *Sharder) countOnce(ctx context.Context) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	return s.count(ctx)
+// settled takes a count and reports whether no more workers come.
+func (c *census) settled(workers int) bool {
+	before := c.workers
+	c.counts, c.workers = c.counts+1, workers
+	return workers > 0 && workers <= before || c.counts >= maxCounts
 }
 
 // CellsFor returns the number of cells for a number of workers.
