The first look at a new life of a worker fences off late orders to the life before

A worker that begins again under its identity has seen no epoch, so that a start which the life before left unanswered is carried out seconds late by the new one: the worker holds more than its room, or a task starts again after it is done. Once an answer tells of a new life the worker's epoch rises, so that the next look, which goes out at once, fences such orders off.

TestLateOrdersToALifeDoNotReachTheNext failed before.

--- a/internal/planner/account_test.go
+++ b/internal/planner/account_test.go
@@ -114,3 +114,17 @@
 		t.Fatalf("%d starts, want that of the claim", n)
 	}
 }
+
+// TestLateOrdersToALifeDoNotReachTheNext guards against a start that is carried out seconds
+// late by a worker which has begun again under its identity.
+func TestLateOrdersToALifeDoNotReachTheNext(t *testing.T) {
+	b := newBench(t, workerEntry("w"))
+	b.update(0)
+	b.look("w", connector.HoldAnswer{Born: 1})
+	s := b.startOne(submitter.Step{Count: 1, Size: small})
+	b.answer("w", connector.HoldAnswer{Born: 2})
+	hold, ok := find[HoldWorker](b.commands, func(HoldWorker) bool { return true })
+	if !ok || hold.Order.Epoch <= s.Order.Epoch {
+		t.Fatalf("look %+v at the new life does not fence off the start with epoch %d", hold, s.Order.Epoch)
+	}
+}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -172,6 +172,9 @@
 	if w.born != e.Answer.Born {
 		if w.born != 0 {
 			p.log.WorkerChanged(w.id, "restarted")
+			// Orders to the life before may still be carried out late; the next look fences
+			// them off.
+			w.sequence++
 		}
 		w.born, w.seen, w.forget, w.unreadEnd, w.leaseAsked = e.Answer.Born, 0, 0, 0, 0
 	}
