A claim at a silent worker does not raise its epoch in each pass

While the store is away claims wait, and each pass said 'lease expired' and raised the epoch of a worker that was silent for a lease and had nothing but such a claim: a log line and a step of the 2^20 that a term has, some hundred times a second. Only runs that the worker was told of are given up now. TestSilentWorkerWithOnlyAClaimIsGivenUpOnce failed before, with a sequence that had risen by 100.

--- a/internal/planner/account_test.go
+++ b/internal/planner/account_test.go
@@ -115,6 +115,25 @@
 	}
 }
 
+// TestSilentWorkerWithOnlyAClaimIsGivenUpOnce guards against an epoch that rises and a log
+// line in each pass while a claim at a worker whose lease is over waits.
+func TestSilentWorkerWithOnlyAClaimIsGivenUpOnce(t *testing.T) {
+	b := newBench(t, workerEntry("w"))
+	b.update(0)
+	b.look("w", connector.HoldAnswer{})
+	b.submit("00000000000000aa", submitter.Step{Count: 1, Size: small})
+	b.unanswered("w")
+	w := b.p.workers["w"]
+	b.update(later(w.leaseEnd, b.now).Sub(b.now))
+	before := w.sequence
+	for range 100 {
+		b.update(10 * time.Millisecond)
+	}
+	if w.sequence != before || len(w.runs) != 1 {
+		t.Fatalf("sequence %d with %d runs, want %d and the claim", w.sequence, len(w.runs), before)
+	}
+}
+
 // TestLateOrdersToALifeDoNotReachTheNext guards against a start that is carried out seconds
 // late by a worker which has begun again under its identity.
 func TestLateOrdersToALifeDoNotReachTheNext(t *testing.T) {
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -155,6 +155,16 @@
 	p.loseRuns(w)
 }
 
+// toldOfRuns reports whether a start was ever sent of a run that counts at the worker.
+func (w *worker) toldOfRuns() bool {
+	for _, r := range w.runs {
+		if r.phase != runClaimed {
+			return true
+		}
+	}
+	return false
+}
+
 // loseRuns gives up all runs of a worker that have certainly ended there.
 func (p *Planner) loseRuns(w *worker) {
 	for _, r := range w.runs {
@@ -187,7 +197,7 @@
 		if p.now.Before(w.leaseEnd) {
 			continue
 		}
-		if len(w.runs) > 0 {
+		if w.toldOfRuns() {
 			p.log.WorkerChanged(w.id, "lease expired")
 			p.loseRuns(w)
 			w.sequence++
