An order whose call panics counts as unanswered

A worker was never looked at again, its runs were held for ever, and a start or stop kept its place in the window of orders, after a call that panicked: the pool that runs the calls recovers from that, so that the planner never got an answer. Now a call that panics is logged and fails as if its answer had been lost. Calls that other hosts make were not affected, since the holder ends these when they are late.

No such panic was seen in a log; found by reading.

--- a/internal/dispatcher/effect.go
+++ b/internal/dispatcher/effect.go
@@ -43,10 +43,19 @@
 	return nil
 }
 
-// begin runs work in the pool. Without room the command fails as if its answer
-// had been lost.
+// begin runs work in the pool. Without room, or if the work panics, the command fails as if
+// its answer had been lost: the planner waits for the answer to each.
 func (t *Term) begin(work func(), c planner.Command) {
-	if err := t.pool.Submit(work); err != nil {
+	answered := func() {
+		defer func() {
+			if cause := recover(); cause != nil {
+				t.logger.Error("order panics", zap.Any("cause", cause), zap.Stack("stack"))
+				t.fail(c, errors.Mark(errors.Newf("order panics: %v", cause), connector.ErrUnknown))
+			}
+		}()
+		work()
+	}
+	if err := t.pool.Submit(answered); err != nil {
 		t.logger.Error("order not sent, too many are under way", logger.Err(err))
 		t.fail(c, errors.Mark(err, connector.ErrNotSent))
 	}
--- a/internal/dispatcher/term_test.go
+++ b/internal/dispatcher/term_test.go
@@ -46,6 +46,8 @@
 	names  int
 	// look returns the directory.
 	look func() connector.Directory
+	// wrap changes how the workers are reached.
+	wrap func(connector.Runner) connector.Runner
 	// retention is how long ended jobs are remembered.
 	retention time.Duration
 	stop      context.CancelFunc
@@ -70,6 +72,7 @@
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{t: t, rand: rand.New(rand.NewPCG(seed, 2)), jobs: map[identifier.Job]submitter.Job{}, store: simulator.NewStore(1, seed)}
 	w.look, w.retention = w.directory, time.Minute
+	w.wrap = func(r connector.Runner) connector.Runner { return r }
 	w.ctx, w.stop = context.WithCancel(t.Context())
 	w.fleet = simulator.NewFleet(seed, w.behave, w.size)
 	for i := range testWorkers {
@@ -109,6 +112,7 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	h := &holding{name: name, done: make(chan struct{})}
 	h.lastSeen.Store(time.Now().UnixNano())
+	runner = w.wrap(runner)
 	h.term.Store(w.newTerm(h, runner))
 	h.kill = func() { cut(); cancel() }
 	go func() {
