The record of a job leaves out what its submission holds

Each change of a job stores its whole record: 87 kB/s of the 250 that a link of 2 Mbit/s carries, the largest part of what a holder sends once orders travel compressed. The configuration of the job's queue was in each of them, although the submission has it since it is stored by the host that accepts the job, and the next holder takes it from there.

The record now holds it only if the submission does not. Nothing changes for programs of before: they read the field only for such submissions.

--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -81,9 +81,12 @@
 
 // job is a job with the state of its tasks.
 type job struct {
-	def       submitter.Job
-	key       string
-	queue     connector.QueueConfig
+	def   submitter.Job
+	key   string
+	queue connector.QueueConfig
+	// queueSubmitted is set if the submission says what the queue was.
+	queueSubmitted bool
+
 	submitted time.Time
 	objective time.Time
 	// occurrences holds the groups of those that are due.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -257,7 +257,7 @@
 		return
 	}
 	j := &job{
-		def: e.Job, queue: e.Queue, submitted: p.now, occurrences: map[int][]*group{},
+		def: e.Job, queue: e.Queue, queueSubmitted: e.Queue.Name != "", submitted: p.now, occurrences: map[int][]*group{},
 		state: StateQueued, shown: StateQueued, key: e.Key,
 	}
 	if q, ok := p.directory.Queues[e.Job.Queue]; ok {
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -14,14 +14,16 @@
 	"github.com/balsamcove/balsamcove/pkg/submitter"
 )
 
-// JobRecord is what is stored of a job beyond its submission.
+// JobRecord is what is stored of a job beyond its submission. It is stored anew with each
+// change of the job, so that it holds nothing that the submission does.
 type JobRecord struct {
-	ID       identifier.Job         `cbor:"1,keyasint"`
-	State    JobState               `cbor:"2,keyasint"`
-	EndedAt  identifier.UnixMillis  `cbor:"3,keyasint,omitempty"`
-	Accepted identifier.UnixMillis  `cbor:"4,keyasint,omitempty"`
-	Tasks    []TaskRecord           `cbor:"5,keyasint,omitempty"`
-	Queue    *connector.QueueConfig `cbor:"6,keyasint,omitempty"`
+	ID       identifier.Job        `cbor:"1,keyasint"`
+	State    JobState              `cbor:"2,keyasint"`
+	EndedAt  identifier.UnixMillis `cbor:"3,keyasint,omitempty"`
+	Accepted identifier.UnixMillis `cbor:"4,keyasint,omitempty"`
+	Tasks    []TaskRecord          `cbor:"5,keyasint,omitempty"`
+	// Queue is nil if the submission says it.
+	Queue *connector.QueueConfig `cbor:"6,keyasint,omitempty"`
 }
 
 // TaskRecord is the stored state of a task that has had a run.
@@ -175,8 +177,11 @@
 }
 
 func recordOf(j *job) JobRecord {
-	queue := j.queue
-	r := JobRecord{ID: j.def.ID, State: j.state, Accepted: identifier.UnixMillis(j.submitted.UnixMilli()), Queue: &queue}
+	r := JobRecord{ID: j.def.ID, State: j.state, Accepted: identifier.UnixMillis(j.submitted.UnixMilli())}
+	if !j.queueSubmitted {
+		queue := j.queue
+		r.Queue = &queue
+	}
 	if j.state.Ended() {
 		r.EndedAt = identifier.UnixMillis(j.endedAt.UnixMilli())
 	}
