A call behind a large answer does not send the next calls through other hosts

Cause: a missing answer counted as a store that does not serve this host, whatever else the store was sending to it.

A missing answer now says nothing while parts of a large one arrive; a refusal does, and the call itself still goes through other hosts.

Test that failed before: TestCallsBehindALargeAnswerBeginNoDetour ('other hosts asked: true').

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -57,6 +57,8 @@
 	detour   chan struct{}
 	onDetour chan struct{}
 	closed   chan struct{}
+	// arrivedAt is when the last part of a large answer came from the store.
+	arrivedAt time.Time
 }
 
 // Option changes a new store.
@@ -123,6 +125,7 @@
 	}
 	own, arrivals := make(chan outcome[T], 1), make(chan struct{}, 1)
 	ownCtx := connector.WithArrivals(ctx, func() {
+		s.noteArrival()
 		select {
 		case arrivals <- struct{}{}:
 		default:
@@ -276,14 +279,25 @@
 	return false, s.onDetour
 }
 
+// noteArrival notes that a part of a large answer has come from the store.
+func (s *Store) noteArrival() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivedAt = time.Now()
+}
+
 // judge notes whether the store answers this host. Once it does not, other hosts
-// are asked first until a probe succeeds.
+// are asked first until a probe succeeds. An answer that is missing while another one
+// arrives waits behind it on the link.
 func (s *Store) judge(err error) {
 	if errors.Is(err, context.Canceled) {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if errors.Is(err, connector.ErrUnknown) && time.Since(s.arrivedAt) < hedgeAfter {
+		return
+	}
 	if !helps(err) {
 		err = nil
 	}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -377,3 +377,63 @@
 		})
 	}
 }
+
+// busyLink is a store on whose link the answer to a read keeps arriving; other calls wait
+// behind it for longer than they may.
+type busyLink struct {
+	arriving
+	reading atomic.Bool
+}
+
+// Read implements connector.Store.
+func (b *busyLink) Read(ctx context.Context, topic connector.Topic, part connector.Partition, from identifier.Offset, wait time.Duration) (connector.Reading, error) {
+	b.reading.Store(true)
+	defer b.reading.Store(false)
+	return b.arriving.Read(ctx, topic, part, from, wait)
+}
+
+// Owners implements connector.Store.
+func (b *busyLink) Owners(ctx context.Context, group string) ([]connector.Ownership, error) {
+	if b.reading.Load() {
+		<-ctx.Done()
+		return nil, errors.Mark(ctx.Err(), connector.ErrUnknown)
+	}
+	return b.Store.Owners(ctx, group)
+}
+
+// TestCallsBehindALargeAnswerBeginNoDetour checks that a call which is not answered while
+// a large answer arrives does not send the calls that follow through other hosts, and
+// that one which is not answered without such a reason does.
+func TestCallsBehindALargeAnswerBeginNoDetour(t *testing.T) {
+	tests := map[string]struct {
+		pause  time.Duration
+		detour bool
+	}{
+		"the answer arrives":    {100 * time.Millisecond, false},
+		"the answer has ceased": {2 * time.Second, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := simulator.NewStore(1, 1)
+			if err := write(t, store.Client("before"), 1); err != nil {
+				t.Fatal(err)
+			}
+			own := &busyLink{arriving: arriving{store.Client("self"), int(3 * time.Second / tt.pause), tt.pause}}
+			s := relayer.New(own, zap.NewNop())
+			defer s.Close()
+			go func() { _, _ = s.Read(t.Context(), "work", 0, 0, 5*time.Second) }()
+			time.Sleep(300 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			if _, err := s.Owners(ctx, "holders"); err == nil {
+				t.Fatal("a call behind the answer is answered")
+			}
+			var asked atomic.Bool
+			s.UsePeers(func() []string { asked.Store(true); return nil })
+			if err := write(t, s, 2); err != nil || asked.Load() != tt.detour {
+				t.Errorf("error %v, other hosts asked: %v, want %v", err, asked.Load(), tt.detour)
+			}
+		})
+	}
+}
