Jobs that have begun come before others; late ones are dropped last when of no use

Tasks are placed one by one, so that a wide job has a part of its room when it becomes late, and its last tasks go behind all that can still be in time, those of jobs that came later included. The work it had serves nobody. Among late jobs the oldest went first, which are of no use any more.

Change: a late job goes on before others while at least 0.7 of its tasks are done or placed, up to three times its objective; one that is later comes last. Of jobs that are in time, and of late ones, those that have begun come first. The order by priority stays.

--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -382,7 +382,7 @@
 	}
 }
 
-func share(part, whole identifier.Millicores) float64 {
+func share[N ~int | ~int64](part, whole N) float64 {
 	if whole == 0 {
 		return 0
 	}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -465,17 +465,24 @@
 
 func TestOrderOfService(t *testing.T) {
 	at := time.UnixMilli(1000)
-	jobOf := func(priority int, objective time.Duration, late bool) turn {
-		return turn{late: late, job: &job{queue: connector.QueueConfig{Priority: priority}, objective: at.Add(objective), def: submitter.Job{ID: identifier.Job(fmt.Sprint(priority, objective))}}}
+	jobOf := func(priority int, objective time.Duration, l lateness) turn {
+		return turn{lateness: l, job: &job{queue: connector.QueueConfig{Priority: priority}, objective: at.Add(objective), def: submitter.Job{ID: identifier.Job(fmt.Sprint(priority, objective))}}}
+	}
+	begun := func(t turn) turn {
+		t.begun = true
+		return t
 	}
 	tests := map[string]struct {
 		first, second turn
 	}{
-		"priority before objective":   {jobOf(0, time.Hour, false), jobOf(1, 0, false)},
-		"priority although late":      {jobOf(0, time.Hour, true), jobOf(1, 0, false)},
-		"earlier objective":           {jobOf(1, time.Second, false), jobOf(1, time.Minute, false)},
-		"in time before late":         {jobOf(1, time.Minute, false), jobOf(1, time.Second, true)},
-		"earlier objective, all late": {jobOf(1, time.Second, true), jobOf(1, time.Minute, true)},
+		"priority before objective":   {jobOf(0, time.Hour, inTime), jobOf(1, 0, inTime)},
+		"priority although late":      {jobOf(0, time.Hour, late), jobOf(1, 0, inTime)},
+		"earlier objective":           {jobOf(1, time.Second, inTime), jobOf(1, time.Minute, inTime)},
+		"in time before late":         {jobOf(1, time.Minute, inTime), jobOf(1, time.Second, late)},
+		"begun before not":            {begun(jobOf(1, time.Minute, late)), jobOf(1, time.Second, late)},
+		"in time before begun":        {jobOf(1, time.Minute, inTime), begun(jobOf(1, time.Second, late))},
+		"late before too late":        {jobOf(1, time.Minute, late), jobOf(1, time.Second, tooLate)},
+		"earlier objective, all late": {jobOf(1, time.Second, late), jobOf(1, time.Minute, late)},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -11,6 +11,12 @@
 	// optimism is the part of the estimated rest of a job that it may still take, so
 	// that an estimate which is too long does not count it as late.
 	optimism = 0.7
+	// lateUse is for how long after its objective a job is of use to its caller, in terms
+	// of the time that it had.
+	lateUse = 2
+	// nearlyDone is the part of a job's tasks that are done or placed from which it is
+	// finished before others although it is late.
+	nearlyDone = 0.7
 	// patientPart is the part of the time that a job has to spare for which one of
 	// its scavengers waits for a place where it harms nobody.
 	patientPart = 0.25
@@ -81,17 +87,64 @@
 	return min(max(time.Duration(patientPart*float64(spare)), minPatience), maxPatience)
 }
 
+// lateness tells apart jobs by what service still does for their callers.
+type lateness int
+
+const (
+	// inTime is a job that can meet its objective or lasts, or little of which is left.
+	inTime lateness = iota
+	// late is one that will not meet it.
+	late
+	// tooLate is one that is of no use any more, which waits for room that nobody else needs.
+	tooLate
+)
+
+// lateness returns that of a job. All but the last tasks of a job serve nobody, so that one
+// which is nearly done is finished first.
+func (p *Planner) lateness(j *job) lateness {
+	if j.lasts() {
+		return inTime
+	}
+	spare := p.toSpare(j)
+	switch {
+	case spare >= 0:
+		return inTime
+	case spare < -lateUse*j.objective.Sub(j.submitted):
+		return tooLate
+	case j.begunPart() >= nearlyDone:
+		return inTime
+	default:
+		return late
+	}
+}
+
+// begun reports whether work on a job has begun, or will last.
+func (j *job) begun() bool { return j.started || j.runs > 0 || j.lasts() }
+
+// begunPart returns which part of a job's tasks are done or placed.
+func (j *job) begunPart() float64 {
+	begun, all := j.runs, 0
+	for _, groups := range j.occurrences {
+		for _, g := range groups {
+			begun += g.done
+			all += len(g.tasks)
+		}
+	}
+	return share(begun, all)
+}
+
 // turn is a job with ready tasks and its place in the order of service.
 type turn struct {
-	job  *job
-	late bool
+	job      *job
+	lateness lateness
+	begun    bool
 }
 
 // waitingJobs returns the jobs with ready tasks in the order of service.
 func (p *Planner) waitingJobs() []*job {
 	turns := make([]turn, 0, len(p.waiting))
 	for j := range p.waiting {
-		turns = append(turns, turn{j, !j.lasts() && p.toSpare(j) < 0})
+		turns = append(turns, turn{j, p.lateness(j), j.begun()})
 	}
 	slices.SortFunc(turns, func(a, b turn) int {
 		if before(a, b) {
@@ -112,14 +165,18 @@
 }
 
 // before reports whether a job is served before another: by priority, then those
-// that can meet their objectives before those that cannot, which only delay them
-// under overload, then by the earliest objective.
+// that can meet their objectives or are nearly done before those that cannot, which
+// only delay them under overload, then those that have begun, since a part of a job
+// serves nobody, then by the earliest objective.
 func before(a, b turn) bool {
 	if pa, pb := a.job.queue.Priority, b.job.queue.Priority; pa != pb {
 		return pa < pb
 	}
-	if a.late != b.late {
-		return b.late
+	if a.lateness != b.lateness {
+		return a.lateness < b.lateness
+	}
+	if a.begun != b.begun {
+		return a.begun
 	}
 	if !a.job.objective.Equal(b.job.objective) {
 		return a.job.objective.Before(b.job.objective)
