Tasks that last leave room for which tasks that end wait

What is left are pieces too small for large tasks, and a step of many has to find many.

Change: a pass remembers for which sizes of tasks that end it found no room (8 a service). In the next one a task that lasts does not take room in which such a task of its own priority, or of a more urgent one, fits; the task that waits takes it in the same pass, so that no room stays free beside a task that lasts and waits. Nothing is evicted. A task that lasts has a demand of its own, so that room which it leaves does not count as full for others.

TestLastingTasksLeaveRoom checks who gets a piece of room.

--- a/internal/planner/explainer.go
+++ b/internal/planner/explainer.go
@@ -25,6 +25,7 @@
 	obstacleSpare       obstacle = "have no processors to spare for scavengers"
 	obstacleInterfering obstacle = "run tasks whose tail it would lengthen"
 	obstacleRoom        obstacle = "have no room"
+	obstacleLack        obstacle = "have room for which tasks that end wait"
 	obstacleLabel       obstacle = "lack the label"
 	obstacleSpread      obstacle = "run as many tasks of the step as are allowed"
 	obstacleAdvice      obstacle = "are ruled out by the adviser"
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -62,6 +62,9 @@
 		}
 		if d := p.demandOf(t, patience); d != last || !covered {
 			last, covered = d, full.covers(p.now, d, g.step.Size)
+			if covered {
+				p.lacks.add(t)
+			}
 		}
 		if covered {
 			continue
@@ -109,6 +112,7 @@
 
 // beginPass returns the sizes that are known to be full when a pass begins.
 func (p *Planner) beginPass() *fullSizes {
+	p.lacks.beginPass()
 	f := &p.full
 	if f.sizes == nil {
 		f.sizes = map[demand][]fullSize{}
@@ -169,6 +173,8 @@
 	// patient is set while a scavenger waits for a place where it harms nobody, and
 	// urgent once it has waited so long that any place does.
 	patient, urgent bool
+	// lasts is set for a task that lasts, which leaves room to those that end.
+	lasts bool
 	// back is set for a task that serves and has run before, which may use the room
 	// that is left free for others.
 	back bool
@@ -176,7 +182,7 @@
 
 // demandOf returns the demand of a task; patience is that of its group.
 func (p *Planner) demandOf(t *task, patience time.Duration) demand {
-	d := demand{service: t.group.job.queue.Service, kind: kindOf(t.group.step)}
+	d := demand{service: t.group.job.queue.Service, kind: kindOf(t.group.step), lasts: t.group.step.LongRunning}
 	switch d.kind {
 	case loadScavenger:
 		waited := p.now.Sub(t.readyAt)
@@ -213,6 +219,7 @@
 func (p *Planner) placeOn(t *task, w *worker, d demand, full *fullSizes) {
 	step := t.group.step
 	if w == nil {
+		p.lacks.add(t)
 		if step.Label == "" && step.MaxPerWorker == 0 && !t.group.job.queue.Advised {
 			full.add(p.now, d, step.Size)
 		}
@@ -271,6 +278,8 @@
 	switch {
 	case !size.Fits(w.room()):
 		return obstacleRoom
+	case d.lasts && p.lacks.claim(t, w):
+		return obstacleLack
 	case step.Label != "" && !slices.Contains(w.entry.Labels, step.Label):
 		return obstacleLabel
 	case step.MaxPerWorker > 0 && p.runsOf(t.group, w) >= step.MaxPerWorker:
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -98,6 +98,8 @@
 
 	// full are the sizes for which there was no room lately.
 	full fullSizes
+	// lacks are the sizes of tasks that come and go for which there was no room.
+	lacks lacks
 
 	// questions counts those to the adviser that are under way.
 	questions int
--- a/internal/planner/shortage_test.go
+++ b/internal/planner/shortage_test.go
@@ -378,8 +378,9 @@
 		load  shortage
 		queue connector.QueueConfig
 	}{
-		"urgent, more than there is":      {shortage{4, 0, time.Second / 2, 0, 0}, urgentQueue},
-		"scavenging, twice what there is": {shortage{4, 0, 0, 0, 600 * time.Millisecond}, patientQueue},
+		"urgent, lasting jobs ask for more than there is": {shortage{64, 22, 750 * time.Millisecond, 2000 * time.Millisecond, 2 * time.Second}, urgentQueue},
+		"urgent, more than there is":                      {shortage{4, 0, time.Second / 2, 0, 0}, urgentQueue},
+		"scavenging, twice what there is":                 {shortage{4, 0, 0, 0, 600 * time.Millisecond}, patientQueue},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -399,3 +400,45 @@
 		})
 	}
 }
+
+// TestLastingTasksLeaveRoom checks who gets room for which a task that lasts and one that ends
+// wait.
+func TestLastingTasksLeaveRoom(t *testing.T) {
+	step := submitter.Step{Count: 1, Size: identifier.Size{Processors: 4000, Memory: 1000}, Estimate: 1000}
+	long := step
+	long.LongRunning = true
+	tests := map[string]struct {
+		priority int
+		step     submitter.Step
+		want     identifier.Job
+	}{
+		"as urgent":       {0, step, "00000000000000cc"},
+		"less urgent":     {1, step, "00000000000000bb"},
+		"lasting as well": {0, long, "00000000000000bb"},
+		"another label":   {0, submitter.Step{Count: 1, Size: small, Estimate: 1000, Label: "gold"}, "00000000000000bb"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, workerEntry("w"))
+			b.update(0)
+			b.look("w", connector.HoldAnswer{})
+			first := b.startOne(step)
+			b.confirm(first)
+			b.submit("00000000000000bb", long)
+			b.update(time.Millisecond)
+			q := queueConfig
+			q.Name, q.Priority = "other", tt.priority
+			b.update(time.Millisecond, JobSubmitted{Job: submitter.Job{ID: "00000000000000cc", Queue: q.Name, Steps: []submitter.Step{tt.step}}, Queue: q})
+			w := b.p.workers["w"]
+			b.p.setHolding(w, false)
+			w.nextHold = b.now
+			b.update(0)
+			b.end(first, 1, connector.EndDone)
+			b.save()
+			starts := b.starts()
+			if len(starts) != 1 || starts[0].Order.Run.Task.Job != tt.want {
+				t.Fatalf("starts %v, want one of %s", starts, tt.want)
+			}
+		})
+	}
+}
