A job of scavengers that harms tails everywhere is not left out beside free room

Change: a job with nothing running for 1 s takes a place for one of its tasks where processors are to spare, beside any tasks that serve, while half of the service's processors are not reserved; pacing and eviction there are as before. Under load nothing changes. TestScavengersThatHarmEverybodyAreNotLeftOut failed before: 'nothing of the job has run for 3.2s: 1 workers run tasks whose tail it would lengthen'. Where others are promised all processors a job waits however long they run, though these are not reserved. Whether that wait counts is a question to the users (docs/PLATFORM.md).

--- /dev/null
+++ b/internal/planner/fills_test.go
@@ -0,0 +1,93 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
+)
+
+// TestScavengersWithRoomAreNotLeftOut guards against a job of scavengers of which nothing runs
+// for long because others were promised all processors, although these are not reserved.
+func TestScavengersWithRoomAreNotLeftOut(t *testing.T) {
+	log := &recorder{}
+	b := newBench(t, workerEntry("w"))
+	b.p.log = log
+	b.update(0)
+	b.look("w", connector.HoldAnswer{Born: 1})
+	step := submitter.Step{Count: 1, Size: identifier.Size{Processors: 1800, Memory: 500}, Scavenger: true, Image: "bill"}
+	var active []connector.ActiveRun
+	for _, id := range []identifier.Job{"00000000000000aa", "00000000000000ab", "00000000000000ac"} {
+		b.submit(id, step)
+		b.save()
+		for _, s := range b.starts() {
+			active = append(active, connector.ActiveRun{Run: s.Order.Run, Percent: len(active)})
+			b.confirm(s)
+		}
+	}
+	for range 30 {
+		b.update(time.Second)
+		for i := range active {
+			active[i].Percent++
+		}
+		b.answer("w", connector.HoldAnswer{Born: 1, Active: active})
+		if b.p.Dirty() {
+			b.save()
+		}
+		for _, s := range b.starts() {
+			active = append(active, connector.ActiveRun{Run: s.Order.Run})
+			b.confirm(s)
+		}
+	}
+	if len(active) != 3 {
+		t.Errorf("%d of 3 jobs run after 30 s; waits: %+v", len(active), log.waits[len(log.waits)-1])
+	}
+}
+
+// TestScavengersThatHarmEverybodyAreNotLeftOut guards against a job of scavengers of which
+// nothing runs for 3 s beside free room, since each worker has tasks whose tails it lengthens.
+func TestScavengersThatHarmEverybodyAreNotLeftOut(t *testing.T) {
+	entry := workerEntry("w")
+	entry.Capacity.Processors = 10 * small.Processors
+	b := newBench(t, entry)
+	b.update(0)
+	b.look("w", connector.HoldAnswer{Born: 1})
+	watch := b.startOne(submitter.Step{Count: 1, Size: small, LongRunning: true, TailTarget: identifier.Duration(time.Second), Image: "watch"})
+	b.confirm(watch)
+	b.p.harm.Set("watch", "batch", 20)
+	b.submit("00000000000000ab", submitter.Step{Count: 2, Size: small, Scavenger: true, Image: "batch"})
+	var scavenger *StartRun
+	const tick, limit = 200 * time.Millisecond, 3 * time.Second
+	waited := time.Duration(0)
+	for range 100 {
+		active := []connector.ActiveRun{{Run: watch.Order.Run, Percent: 100, Tail: 500 * time.Millisecond}}
+		var ended []connector.EndedRun
+		if scavenger != nil {
+			active[0].Tail = 2 * time.Second
+			active = append(active, connector.ActiveRun{Run: scavenger.Order.Run, Percent: 10, Used: small.Processors})
+		}
+		b.p.setHolding(b.p.workers["w"], false)
+		b.update(tick)
+		for _, c := range b.commands {
+			if s, ok := c.(StopRun); ok && scavenger != nil && s.Run == scavenger.Order.Run {
+				active = active[:1]
+				ended = append(ended, connector.EndedRun{Number: b.p.workers["w"].seen + 1, Run: s.Run, How: connector.EndStopped})
+				scavenger = nil
+			}
+		}
+		b.look("w", connector.HoldAnswer{Born: 1, Active: active, Ended: ended})
+		b.save()
+		for _, s := range b.starts() {
+			scavenger = &s
+			b.confirm(s)
+		}
+		if waited += tick; scavenger != nil {
+			waited = 0
+		}
+		if waited > limit {
+			t.Fatalf("nothing of the job has run for %v: %s", waited, b.p.reasonToWait(&b.p.jobs["00000000000000ab"].occurrences[0][0].tasks[0]))
+		}
+	}
+}
--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -218,10 +218,10 @@
 // tolerates reports whether a scavenger may be placed on a worker beside tasks that
 // serve; one that is patient waits for a place where it harms none.
 func (p *Planner) tolerates(w *worker, step *submitter.Step, d demand) bool {
-	if w.serving == 0 {
+	if w.serving == 0 || d.lone {
 		return true
 	}
-	if p.now.Before(w.quietUntil) || w.slack < evictSlack {
+	if p.suffers(w) {
 		return false
 	}
 	slack := p.expectedSlack(w, step.Image, share(step.Size.Processors, w.entry.Capacity.Processors))
@@ -235,6 +235,11 @@
 	}
 }
 
+// suffers reports whether tails on a worker are too long, or were until just now.
+func (p *Planner) suffers(w *worker) bool {
+	return w.serving > 0 && (p.now.Before(w.quietUntil) || w.slack < evictSlack)
+}
+
 // harmsOn reports whether a scavenger is known to harm an image that serves on a
 // worker.
 func (p *Planner) harmsOn(w *worker, scavenger identifier.Image) bool {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -173,6 +173,9 @@
 	// patient is set while a scavenger waits for a place where it harms nobody, and
 	// urgent once it has waited so long that any place does.
 	patient, urgent bool
+	// lone is set for a scavenger of a job of which nothing has run for loneWait although
+	// much room is free: it is placed beside any tasks that serve.
+	lone bool
 	// lasts is set for a task that lasts, which leaves room to those that end.
 	lasts bool
 	// back is set for a task that serves and has run before, which may use the room
@@ -180,6 +183,12 @@
 	back bool
 }
 
+// loneWait is how long a job of scavengers may have nothing running beside much free room
+// while it waits for a place where it harms nobody, which may never come: where it does harm
+// it is slowed down. It is a third of the 3 s after which a job that could run counts as
+// left out.
+const loneWait = time.Second
+
 // demandOf returns the demand of a task; patience is that of its group.
 func (p *Planner) demandOf(t *task, patience time.Duration) demand {
 	d := demand{service: t.group.job.queue.Service, kind: kindOf(t.group.step), lasts: t.group.step.LongRunning}
@@ -188,6 +197,7 @@
 		waited := p.now.Sub(t.readyAt)
 		d.image = t.group.step.Image
 		d.patient, d.urgent = waited < patience, waited >= lastPatience
+		d.lone = t.group.job.runs == 0 && waited >= loneWait && p.hasMuchRoom(d.service)
 	case loadServing:
 		d.back = t.attempt > 0
 	case loadPlain:
@@ -336,6 +346,7 @@
 	weightQuiet      = -1
 	weightMixed      = -0.3
 	weightSuspect    = -4
+	weightSuffers    = -8
 )
 
 // score returns how good a worker is for a task that may run there; quiet is how
@@ -370,6 +381,9 @@
 	if w.failures > 0 {
 		s += weightSuspect
 	}
+	if kind == loadScavenger && p.suffers(w) {
+		s += weightSuffers
+	}
 	return s
 }
 
--- a/internal/planner/waiter.go
+++ b/internal/planner/waiter.go
@@ -14,8 +14,8 @@
 	// others apart: each counts the workers by what keeps the step from them.
 	waitLines  = 5
 	waitPeriod = time.Second
-	// muchRoom is the part of a service's room that is free where a task that does not last
-	// should not wait for long.
+	// muchRoom is the part of a service's processors that is not reserved where a task that
+	// does not last should not wait for long.
 	muchRoom = 0.5
 )
 
@@ -77,7 +77,8 @@
 	return &w.other
 }
 
-// hasMuchRoom reports whether much of the room of a service's listed workers is free.
+// hasMuchRoom reports whether much of the processors of a service's listed workers is not
+// reserved.
 func (p *Planner) hasMuchRoom(s identifier.Service) bool {
 	if p.waits.roomy == nil || p.now.Sub(p.waits.roomyAt) >= waitPeriod {
 		p.waits.roomy, p.waits.roomyAt = p.roomyServices(), p.now
@@ -86,19 +87,18 @@
 }
 
 func (p *Planner) roomyServices() map[identifier.Service]bool {
-	type room struct{ whole, used identifier.Size }
+	type room struct{ whole, reserved identifier.Millicores }
 	rooms := map[identifier.Service]room{}
 	for _, w := range p.list {
 		if !w.listed {
 			continue
 		}
 		r := rooms[w.entry.Service]
-		rooms[w.entry.Service] = room{r.whole.Add(w.entry.Capacity), r.used.Add(w.used)}
+		rooms[w.entry.Service] = room{r.whole + w.entry.Capacity.Processors, r.reserved + w.used.Processors}
 	}
 	roomy := make(map[identifier.Service]bool, len(rooms))
 	for s, r := range rooms {
-		roomy[s] = share(r.used.Processors, r.whole.Processors) < 1-muchRoom &&
-			float64(r.used.Memory) < (1-muchRoom)*float64(r.whole.Memory)
+		roomy[s] = share(r.reserved, r.whole) < 1-muchRoom
 	}
 	return roomy
 }
