The trial of short room checks that no lasting task waits beside room for it

Room that tasks which last leave to others must not stay free beside them: users count 3 s of that as a task that is not started.

--- a/internal/planner/shortage_test.go
+++ b/internal/planner/shortage_test.go
@@ -21,6 +21,8 @@
 	stayTime = 70 * time.Second
 	// lateTimes is up to how many times its objective a job counts as served late.
 	lateTimes = 3
+	// idleTime is the users' bound for a task that lasts and waits beside room for it.
+	idleTime = 3 * time.Second
 	// urgentTime is how long an urgent task runs.
 	urgentTime = time.Second
 )
@@ -36,6 +38,8 @@
 	byID    map[identifier.Job]*poolJob
 	// due and atWork add up the tasks that last over the ticks, those due and those at work.
 	due, atWork int
+	// idle is since when a task that lasts has waited beside room for it, by job.
+	idle map[*job]time.Time
 }
 
 // poolWorker is a worker and what runs on it.
@@ -103,15 +107,12 @@
 	s.update(0, JobSubmitted{Job: j.def, Queue: q})
 }
 
+// update tells the planner events and carries out what it orders. The directory stays fresh
+// without being read again, which would take most of the time of a test.
 func (s *pool) update(after time.Duration, events ...Event) {
 	s.b.now = s.b.now.Add(after)
-	s.b.dir.OperatorSeen, s.b.dir.WorkersSeen = s.b.now, s.b.now
-	if len(s.b.p.workers) == 0 || len(s.b.dir.Queues) != len(s.b.p.directory.Queues) {
-		events = append([]Event{DirectoryChanged{s.b.dir}}, events...)
-	}
 	s.b.p.directory.OperatorSeen, s.b.p.directory.WorkersSeen = s.b.now, s.b.now
-	events = s.carryOut(s.b.p.Update(s.b.now, events...))
-	for len(events) > 0 {
+	for events = s.carryOut(s.b.p.Update(s.b.now, events...)); len(events) > 0; {
 		events = s.carryOut(s.b.p.Update(s.b.now, events...))
 	}
 }
@@ -191,9 +192,39 @@
 			s.update(0, BatchSaved{s.b.p.TakeBatch()})
 		}
 		s.collect()
+		s.checkLasting()
 	}
 }
 
+// checkLasting checks that no task that lasts waits beside room for it for as long as users
+// bear.
+func (s *pool) checkLasting() {
+	idle := map[*job]time.Time{}
+	for j := range s.b.p.waiting {
+		if !j.lasts() || !s.hasRoom(j.occurrences[0][0].step.Size) {
+			continue
+		}
+		since, ok := s.idle[j]
+		if !ok {
+			since = s.b.now
+		}
+		idle[j] = since
+		if s.b.now.Sub(since) > idleTime {
+			s.b.t.Fatalf("a task that lasts waits beside room for it for %v", s.b.now.Sub(since))
+		}
+	}
+	s.idle = idle
+}
+
+// hasRoom reports whether some worker has room for a task that lasts.
+func (s *pool) hasRoom(size identifier.Size) bool {
+	return slices.ContainsFunc(s.b.p.list, func(w *worker) bool {
+		size := size
+		size.Processors += identifier.Millicores(servingHeadroom * float64(w.entry.Capacity.Processors))
+		return size.Fits(w.room())
+	})
+}
+
 // leave cancels the jobs whose time is over.
 func (s *pool) leave() []Event {
 	var events []Event
@@ -349,7 +380,8 @@
 
 // play lets a pool serve a load.
 func (s *pool) play(l shortage) {
-	s.update(0)
+	s.b.dir.OperatorSeen, s.b.dir.WorkersSeen = s.b.now, s.b.now
+	s.update(0, DirectoryChanged{s.b.dir})
 	s.run(time.Second)
 	for range l.filled {
 		s.submitLasting()
