--- a/internal/planner/restore_test.go
+++ b/internal/planner/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"testing"
+	"time"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
@@ -40,3 +41,31 @@
 		})
 	}
 }
+
+// FuzzRestore checks that no stored record of a job ends the holder that takes over.
+func FuzzRestore(f *testing.F) {
+	for _, rec := range []JobRecord{
+		{ID: "a", State: StateRunning, Tasks: []TaskRecord{{Attempt: 1, Runs: []RunRecord{{Attempt: 1, Worker: "w"}}}}},
+		{ID: "a", State: StateRunning, Tasks: []TaskRecord{{Step: 1, Index: 1, Attempt: 1, Done: true}, {Step: -1}, {Occurrence: 3}}},
+		{ID: "a", State: StateCompleted, EndedAt: math.MaxInt64},
+		{ID: "zz", State: "odd"},
+	} {
+		data, err := rec.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		rec, err := DecodeJobRecord(data)
+		if err != nil {
+			return
+		}
+		b := newBench(t, workerEntry("w"))
+		b.submit("a", submitter.Step{Count: 1, Size: small}, submitter.Step{Count: 2, Size: small, After: []int{0}})
+		b.p.restore([]JobRecord{rec})
+		b.update(time.Millisecond)
+		b.save()
+		b.update(time.Second)
+	})
+}
