A run that a later life of its worker began keeps its task for the longest lease

Cause: a start that is carried out late by the next life of a worker asks for a lease by the clock of the life before. A new clock is far behind, so that the worker grants the longest lease there is (holdMaxMs, 6 or 10 s), while the holder counted on what it asks for, 5 s at most. The longer one was only assumed for runs that nobody had claimed, and for those listed after the known lease was over; a run that was still claimed here was taken for one under the old lease.

Evidence: TestRunCarriedOutInALaterLifeKeepsItsTask, before: "the run is given up while it may go on" in all three cases (start unanswered, start confirmed by the life before, a look between).

A run remembers the life to which its last start was sent. Once a look lists it in another, the lease counts as unknown, as it did for strays: the run is kept for the longest lease unless the worker is heard from. A run that never changes its life waits no longer than before.

--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -60,7 +60,7 @@
 func (p *Planner) sendStart(r *run) {
 	w := r.worker
 	r.phase = runStarting
-	r.epoch = p.epochOf(w)
+	r.epoch, r.born = p.epochOf(w), w.born
 	p.startBegins(r)
 	r.tries++
 	r.sentAt = p.now
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -231,6 +231,7 @@
 		return
 	}
 	r.listedIn = p.counts.looks
+	p.noteLife(w, r)
 	if r.phase == runStarting || r.phase == runUnsure {
 		p.activated(r)
 	}
@@ -246,6 +247,15 @@
 	}
 }
 
+// noteLife notes in which life of its worker a run is listed. A start to an earlier life asks
+// for a lease by that life's clock, so that a later one may grant the longest there is.
+func (p *Planner) noteLife(w *worker, r *run) {
+	if r.born != 0 && r.born != w.born {
+		p.noteUnknownLease(w)
+	}
+	r.born = w.born
+}
+
 // stray handles a run that nobody here has claimed: it is adopted to take its
 // room until its end, and stopped.
 func (p *Planner) stray(w *worker, a connector.ActiveRun) {
@@ -258,7 +268,7 @@
 	}
 	r := &run{
 		id: a.Run, task: t, size: t.group.step.Size, phase: runStopping, answered: p.now, started: p.now,
-		unwanted: true, stopSent: true, pace: fullPace, progress: p.now, listedIn: p.counts.looks,
+		unwanted: true, stopSent: true, pace: fullPace, progress: p.now, listedIn: p.counts.looks, born: w.born,
 	}
 	p.reserve(w, r)
 	t.runs = append(t.runs, r)
