--- a/internal/connector/arrival.go
+++ b/internal/connector/arrival.go
@@ -33,3 +33,17 @@
 		report()
 	}
 }
+
+type mostBytesKey struct{}
+
+// WithMostBytes returns a context whose reads ask the store for no more than so many bytes of
+// records where they can, since the caller would not take more; there is at least one record.
+func WithMostBytes(ctx context.Context, most int) context.Context {
+	return context.WithValue(ctx, mostBytesKey{}, most)
+}
+
+// MostBytes returns how many bytes of records a read is to ask for; ok is false without a bound.
+func MostBytes(ctx context.Context) (most int, ok bool) {
+	most, ok = ctx.Value(mostBytesKey{}).(int)
+	return most, ok
+}
--- a/internal/relayer/server.go
+++ b/internal/relayer/server.go
@@ -37,7 +37,7 @@
 		return s.Newest(ctx, c.Topic, c.Partition, c.After)
 	}),
 	messenger.MethodRead: decoded(func(ctx context.Context, s connector.Store, c dialer.PartitionCall) (any, error) {
-		r, err := s.Read(ctx, c.Topic, c.Partition, c.From, time.Duration(c.WaitMs)*time.Millisecond)
+		r, err := s.Read(connector.WithMostBytes(ctx, boundOf(c.MaxBytes)), c.Topic, c.Partition, c.From, time.Duration(c.WaitMs)*time.Millisecond)
 		if r = firstOf(r, c.From, c.MaxBytes); err != nil || !c.Packed {
 			return r, err
 		}
@@ -58,13 +58,18 @@
 // carries as JSON within half of peerTimeout.
 const relayedBytes = 36 << 10
 
-// firstOf returns the first records of a reading that may be relayed, at least one; most is
-// what the other host asked for, or zero.
-func firstOf(r connector.Reading, from identifier.Offset, most int) connector.Reading {
-	if most <= 0 || most > relayedBytes {
-		most = relayedBytes
+// boundOf returns the bound of a read for another host, which asked for one or told zero.
+func boundOf(asked int) int {
+	if asked <= 0 {
+		return relayedBytes
 	}
-	size := 0
+	return min(asked, relayedBytes)
+}
+
+// firstOf returns the first records of a reading that may be relayed, at least one; asked is
+// what the other host asked for, or zero.
+func firstOf(r connector.Reading, from identifier.Offset, asked int) connector.Reading {
+	most, size := boundOf(asked), 0
 	for i, rec := range r.Records {
 		size += connector.Bytes(rec)
 		if i > 0 && size > most {
