Deployments that a release without a layout has held keep their one cell, also without jobs

An operator who replaces the hosts of a deployment of over 900 workers one by one, before its first job, would see two holders of one worker that step down in turn, and jobs that are looked for in another cell and said to be unknown (410, LOST).

Cause: what shows an earlier release was taken to be a job in the inbox. Its hosts hold the one cell, and call all workers, from their start on.

Evidence: TestHoldersOfEarlierReleasesKeepTheirCell, before: 2 cells, want 1.

Each term begins with a record in the topic of the cells' state, so that a host without a layout looks there too.

--- a/internal/dispatcher/saver.go
+++ b/internal/dispatcher/saver.go
@@ -123,7 +123,7 @@
 	defer cancel()
 	began := time.Now()
 	_, err := t.store.Append(ctx, connector.KeyedAppend{
-		Topic: topicWork, Partition: connector.Partition(t.cell), Writer: &writer, Records: records,
+		Topic: TopicWork, Partition: connector.Partition(t.cell), Writer: &writer, Records: records,
 	})
 	took := time.Since(began)
 	if err == nil {
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -79,7 +79,7 @@
 }
 
 func (t *Term) tryFence(ctx context.Context) ([]connector.KeyedRecord, identifier.Epoch, error) {
-	records, end, err := t.readNewest(ctx, topicWork)
+	records, end, err := t.readNewest(ctx, TopicWork)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -100,7 +100,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	_, err = t.store.Append(ctx, connector.KeyedAppend{
-		Topic: topicWork, Partition: connector.Partition(t.cell), At: &end, Writer: &t.writer,
+		Topic: TopicWork, Partition: connector.Partition(t.cell), At: &end, Writer: &t.writer,
 		Records: []connector.KeyedRecord{{Key: keyHolder, Value: value}},
 	})
 	if err != nil {
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -109,7 +109,7 @@
 		t.Fatal(err)
 	}
 	_, err = w.store.Client("before").Append(w.ctx, connector.KeyedAppend{
-		Topic: topicWork, Records: []connector.KeyedRecord{{Key: keyJobPrefix + string(r.ID), Value: value}},
+		Topic: TopicWork, Records: []connector.KeyedRecord{{Key: keyJobPrefix + string(r.ID), Value: value}},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -25,8 +25,8 @@
 )
 
 const (
-	// topicWork holds the state of the jobs of each cell.
-	topicWork connector.Topic = "work"
+	// TopicWork holds the state of the jobs of each cell; each term begins with a record.
+	TopicWork connector.Topic = "work"
 	// inboxWait is how long a read of the inbox waits for a record.
 	inboxWait = 900 * time.Millisecond
 	// retryPause is the pause after a failed call of the store.
--- a/internal/dispatcher/term_test.go
+++ b/internal/dispatcher/term_test.go
@@ -274,7 +274,7 @@
 
 func historyForgotten(w *world) {
 	w.store.Forget(intake.TopicInbox)
-	w.store.Forget(topicWork)
+	w.store.Forget(TopicWork)
 }
 
 func workerCrash(w *world) {
--- a/internal/sharder/sharder.go
+++ b/internal/sharder/sharder.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/dispatcher"
 	"github.com/balsamcove/balsamcove/internal/intake"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/sleeper"
@@ -158,14 +159,16 @@
 }
 
 // decide returns the number of cells for the workers that there are; zero while more of
-// them come. Jobs of a release without a layout are all in one cell.
+// them come. A release without a layout has one cell, of which there may be hosts still.
 func (s *Sharder) decide(ctx context.Context, seen *census) (int, error) {
-	page, err := s.store.Newest(ctx, intake.TopicInbox, 0, "")
-	if err != nil {
-		return 0, err
-	}
-	if page.End > 0 {
-		return 1, nil
+	for _, topic := range []connector.Topic{intake.TopicInbox, dispatcher.TopicWork} {
+		page, err := s.store.Newest(ctx, topic, 0, "")
+		if err != nil {
+			return 0, err
+		}
+		if page.End > 0 {
+			return 1, nil
+		}
 	}
 	workers, err := s.count(ctx)
 	if err != nil || !seen.settled(workers) {
--- a/internal/sharder/sharder_test.go
+++ b/internal/sharder/sharder_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/dispatcher"
 	"github.com/balsamcove/balsamcove/internal/intake"
 	"github.com/balsamcove/balsamcove/internal/simulator"
 )
@@ -111,6 +112,19 @@
 	})
 }
 
+// TestHoldersOfEarlierReleasesKeepTheirCell guards against two holders of one worker, and jobs that
+// are looked for in another cell, once the hosts of a deployment without jobs are replaced one by one.
+func TestHoldersOfEarlierReleasesKeepTheirCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := simulator.NewStore(1, 1)
+		put(t, store, dispatcher.TopicWork, "!holder", []byte{1})
+		got, err := New(store.Client("a"), counting(1800), zap.NewNop()).Agree(t.Context())
+		if err != nil || got != 1 {
+			t.Errorf("%d cells, %v, want 1", got, err)
+		}
+	})
+}
+
 // TestUnreadableLayoutIsNotGuessed checks that a host without a usable layout uses none,
 // and finds it when it can be read again.
 func TestUnreadableLayoutIsNotGuessed(t *testing.T) {
