Jobs that can't be served in time are refused at once

Cause: everything is accepted, whatever the holder carries; past its edge most jobs wait until they are worth nothing, and the work for them makes the others late.

Change: the holder works out each 0.4 s which share of each queue's new jobs can be served in time, from what is owed, the rate at which tasks begin, and the time that the objectives leave (internal/admitter). Less urgent queues give way first. The answers to hosts' beats carry the shares; a word older than 2 s refuses nothing. A host refuses a job whose hash is above the share with 429 and a Retry-After of when its share is likely to be reached, after it asked the holder whether the job is known.

--- a/internal/dispatcher/saver.go
+++ b/internal/dispatcher/saver.go
@@ -43,7 +43,11 @@
 		return err
 	}
 	if len(records) > 0 {
-		if err := t.append(ctx, records); err != nil {
+		began := time.Now()
+		t.storingSince.Store(&began)
+		err := t.append(ctx, records)
+		t.storingSince.Store(nil)
+		if err != nil {
 			return err
 		}
 	}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -35,6 +35,7 @@
 	MethodJobReport  Method = "jobReport"
 	MethodJobExplain Method = "jobExplain"
 	MethodJobList    Method = "jobList"
+	MethodJobKnown   Method = "jobKnown"
 )
 
 // The calls of scheduling hosts to a platform that speaks this project's own
