The repeated job of the admission test has a period

TestJobsThatCannotBeServedAreRefusedAtOnce handed in a schedule without one, which no host accepts; since records of the inbox are checked when they are read, it counted as not stored. The check of the test is the same.

--- a/internal/intake/admission_test.go
+++ b/internal/intake/admission_test.go
@@ -66,7 +66,7 @@
 func TestJobsThatCannotBeServedAreRefusedAtOnce(t *testing.T) {
 	lasting, repeated, other := job(1), job(1), job(1)
 	lasting.Steps = []submitter.Step{{Count: 1, LongRunning: true}}
-	repeated.Schedule = &submitter.Schedule{Times: 2}
+	repeated.Schedule = &submitter.Schedule{Period: identifier.Duration(time.Minute), Times: 2}
 	other.Queue = "checks"
 	tests := map[string]struct {
 		job     submitter.Job
