--- a/internal/connector/store.go
+++ b/internal/connector/store.go
@@ -122,6 +122,9 @@
 	Owners(ctx context.Context, group string) ([]Ownership, error)
 }
 
+// maxKeyBytes is the length that a key may have: its length is told in a byte.
+const maxKeyBytes = 255
+
 // maxPages bounds the pages of newest records, far above those of a full store.
 const maxPages = 10_000
 
@@ -168,7 +171,7 @@
 	}
 	// What is mangled is beyond ASCII. So is all that these pass over.
 	sound, _, _ := strings.Cut(strings.ToValidUTF8(records[len(records)-1].Key, mangled), mangled)
-	for _, key := range []string{sound + string(unicode.MaxRune), sound + "\xff\xff\xff\xff"} {
+	for _, key := range []string{sound + string(unicode.MaxRune), sound + strings.Repeat("\xff", max(maxKeyBytes-len(sound), 0))} {
 		if !used[key] {
 			return key, true
 		}
--- a/internal/connector/store_test.go
+++ b/internal/connector/store_test.go
@@ -88,7 +88,7 @@
 	}{
 		"same page again":      {&pagedStore{keys: []string{"a", "b", "c", "d"}, page: 2, stuck: true}, ErrUnknown},
 		"only mangled keys":    {&pagedStore{keys: []string{"\xf0", "\xf1", "\xf2"}, page: 2}, nil},
-		"last bytes there are": {&pagedStore{keys: []string{"\xfe", "\xff", "\xff\xff"}, page: 1}, nil},
+		"last bytes there are": {&pagedStore{keys: []string{"\xfe", "\xff", "\xff\xff", strings.Repeat("\xff", 255)}, page: 1}, nil},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
