--- a/internal/messenger/stream_test.go
+++ b/internal/messenger/stream_test.go
@@ -171,16 +171,20 @@
 
 // TestLargeMessagesArrive checks messages around the sizes at which memory is taken.
 func TestLargeMessagesArrive(t *testing.T) {
-	peer, err := Dial(t.Context(), listen(t, echo), echo)
+	arrived := make(chan []byte)
+	address := listen(t, echo, WithBatches(func(_ Peer, _ Method, content []byte) { arrived <- content }))
+	peer, err := Dial(t.Context(), address, echo)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer peer.Close()
-	for _, size := range []int{0, 1, firstAlloc - 20, firstAlloc, firstAlloc + 1, 5 * firstAlloc} {
-		want := strings.Repeat("x", size)
-		var got string
-		if err := peer.Call(t.Context(), MethodBeat, want, &got); err != nil || got != want {
-			t.Errorf("%d bytes: %d came back, %v", size, len(got), err)
+	for _, size := range []int{0, 1, firstAlloc - 1, firstAlloc, firstAlloc + 1, 5 * firstAlloc, maxFrame} {
+		want := bytes.Repeat([]byte{'x', 0, '\n'}, size/3+1)[:size]
+		if err := peer.Send(MethodAnswers, want); err != nil {
+			t.Fatal(err)
+		}
+		if got := <-arrived; !bytes.Equal(got, want) {
+			t.Errorf("%d bytes: %d came, or others", size, len(got))
 		}
 	}
 }
