--- a/internal/planner/lack.go
+++ b/internal/planner/lack.go
@@ -32,7 +32,7 @@
 }
 
 // add notes that there was no room for a ready task. Steps for which a worker needs more than
-// room are left out: nobody would take what is left to them.
+// room are left out: what is left to them might stay unused.
 func (l *lacks) add(t *task) {
 	step, q := t.group.step, &t.group.job.queue
 	if step.LongRunning || kindOf(step) != loadPlain || step.Label != "" || step.MaxPerWorker > 0 || q.Advised {
@@ -46,7 +46,8 @@
 	l.next[q.Service] = append(slices.DeleteFunc(list, func(o lack) bool { return o.implied(n) }), n)
 }
 
-// implied reports whether room for another lack is room for a less urgent or larger one.
+// implied reports whether another lack is as urgent and no larger, so that it says the same of
+// a worker's room and more.
 func (n lack) implied(by lack) bool { return by.priority <= n.priority && by.size.Fits(n.size) }
 
 // claim reports whether tasks that come and go, of a task's priority or more urgent, wait
--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -99,8 +99,8 @@
 	tooLate
 )
 
-// lateness returns that of a job. All but the last tasks of a job serve nobody, so that one
-// which is nearly done is finished first.
+// lateness returns that of a job. A job serves its caller once its last task is done, so that
+// one which is nearly done is finished although it is late.
 func (p *Planner) lateness(j *job) lateness {
 	if j.lasts() {
 		return inTime
@@ -118,7 +118,7 @@
 	}
 }
 
-// begun reports whether work on a job has begun, or will last.
+// begun reports whether work on a job has begun; one that lasts always counts as begun.
 func (j *job) begun() bool { return j.started || j.runs > 0 || j.lasts() }
 
 // begunPart returns which part of a job's tasks are done or placed.
