A run keeps its task for the longest lease also if its first start reached a later life

Cause: of two starts of a run the second one told to which life the run belongs, while the first, sent to the life before, may be carried out later by the new one.

Evidence: TestRunCarriedOutInALaterLifeKeepsItsTask, "it was sent again to the later life", with the life of the last start: "the run is given up while it may go on".

The life of the first start counts, until a look has listed the run.

--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -60,7 +60,10 @@
 func (p *Planner) sendStart(r *run) {
 	w := r.worker
 	r.phase = runStarting
-	r.epoch, r.born = p.epochOf(w), w.born
+	r.epoch = p.epochOf(w)
+	if r.born == 0 {
+		r.born = w.born
+	}
 	p.startBegins(r)
 	r.tries++
 	r.sentAt = p.now
--- a/internal/planner/life_test.go
+++ b/internal/planner/life_test.go
@@ -14,6 +14,13 @@
 	tests := map[string]func(b *bench, s StartRun){
 		"the start had no answer": func(*bench, StartRun) {},
 		"the start was confirmed": func(b *bench, s StartRun) { b.confirm(s) },
+		"it was sent again to the later life": func(b *bench, s StartRun) {
+			b.answer("w", connector.HoldAnswer{OrderAnswer: connector.OrderAnswer{Clock: 1}, Born: 2})
+			b.update(0, StartAnswered{Worker: "w", Run: s.Order.Run, Epoch: s.Order.Epoch, Err: errLost})
+			if n := len(b.starts()); n != 1 {
+				b.t.Fatalf("%d starts, want it again", n)
+			}
+		},
 		"a look came between": func(b *bench, _ StartRun) {
 			b.answer("w", connector.HoldAnswer{OrderAnswer: connector.OrderAnswer{Clock: 1}, Born: 2})
 		},
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -33,7 +33,7 @@
 	// epoch is that of the last start sent; a look under a higher one that does
 	// not show the run proves that it will never run.
 	epoch identifier.Epoch
-	// born tells the life of the worker to which the last start was sent, or which has last
+	// born tells the life of the worker to which the first start was sent, or which has last
 	// listed the run; zero if that is not known.
 	born identifier.UnixMillis
 	// answered is when the worker confirmed the start.
