A scheduled job is late from its due time on, not from its submission on

Callers with scheduled jobs would see their occurrences start after all others once workers are full: a job that was submitted more than three times its objective before it was due came last, behind late jobs of which it is due first.

Cause: the objective counted from the submission. The other way around, occurrences that were over counted as tasks that are done, so that after some of them a late job counted as nearly done, and came first.

Evidence: TestScheduledJobIsInTimeWhenItIsDue, before: lateness 2 (too late) with 4 tasks ready, at its first holder and at a later one. TestFinishedOccurrencesDoNotMakeAJobNearlyDone, before: 0.75 of the tasks count as begun, want none.

The objective of a scheduled job counts from when its newest occurrence was due, at each holder, and only occurrences that are not over count for how much of it has begun.

--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -90,6 +90,9 @@
 	queueSubmitted bool
 
 	submitted time.Time
+	// turned is when its caller's wait began: at its submission, or when its newest
+	// occurrence was due. The objective counts from then.
+	turned    time.Time
 	objective time.Time
 	// occurrences holds the groups of those that are due.
 	occurrences map[int][]*group
@@ -262,6 +265,7 @@
 			if j.occurrences[k] == nil {
 				p.activate(j, k)
 			}
+			j.waitFrom(later(j.submitted, p.now.Add(j.def.Schedule.Due(k).Sub(p.clock()))))
 			p.release(j, k)
 		}
 		if j.nextOccurrence == j.times() || j.state.Ended() {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -266,7 +266,7 @@
 	if q, ok := p.directory.Queues[e.Job.Queue]; ok {
 		j.queue = q
 	}
-	j.objective = objectiveOf(j, p.now)
+	j.waitFrom(p.now)
 	p.jobs[j.def.ID] = j
 	if at, ok := p.cancelled[j.def.ID]; ok {
 		p.cancel(JobCancelled{j.def.ID, at})
--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -48,6 +48,9 @@
 	return from.Add(time.Duration(float64(chain(&j.def))*stretch) + j.queue.Allowance.Std())
 }
 
+// waitFrom sets from when on the caller of a job waits for it.
+func (j *job) waitFrom(at time.Time) { j.turned, j.objective = at, objectiveOf(j, at) }
+
 // restOfChain returns the longest estimated chain of work that is left of a job.
 func (j *job) restOfChain() time.Duration {
 	longest := time.Duration(0)
@@ -109,7 +112,7 @@
 	switch {
 	case spare >= 0:
 		return inTime
-	case spare < -lateUse*j.objective.Sub(j.submitted):
+	case spare < -lateUse*j.objective.Sub(j.turned):
 		return tooLate
 	case j.begunPart() >= nearlyDone:
 		return inTime
@@ -121,10 +124,14 @@
 // begun reports whether work on a job has begun; one that lasts always counts as begun.
 func (j *job) begun() bool { return j.started || j.runs > 0 || j.lasts() }
 
-// begunPart returns which part of a job's tasks are done or placed.
+// begunPart returns which part of a job's tasks are done or placed. Occurrences that are
+// over do not count.
 func (j *job) begunPart() float64 {
 	begun, all := j.runs, 0
 	for _, groups := range j.occurrences {
+		if allDone(groups) {
+			continue
+		}
 		for _, g := range groups {
 			begun += g.done
 			all += len(g.tasks)
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -235,7 +235,7 @@
 	}
 	if rec.Accepted > 0 {
 		j.submitted = rec.Accepted.Time()
-		j.objective = objectiveOf(j, j.submitted)
+		j.waitFrom(j.submitted)
 	}
 	if rec.State != StateQueued {
 		j.started = true
--- /dev/null
+++ b/internal/planner/schedule_test.go
@@ -0,0 +1,68 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
+)
+
+// scheduledBench returns a bench without workers on which a job is due times times, a minute apart.
+func scheduledBench(t *testing.T, times int) (*bench, JobSubmitted) {
+	b := newBench(t)
+	b.p.clock = func() time.Time { return b.now }
+	s := JobSubmitted{Queue: queueConfig, Job: submitter.Job{
+		ID: "00000000000000aa", Queue: queue,
+		Steps:    []submitter.Step{{Count: 4, Size: small, Estimate: identifier.Duration(time.Second)}},
+		Schedule: &submitter.Schedule{First: identifier.UnixMillis(b.now.Add(time.Minute).UnixMilli()), Period: identifier.Duration(time.Minute), Times: times},
+	}}
+	b.update(0, s)
+	return b, s
+}
+
+// TestScheduledJobIsInTimeWhenItIsDue guards against scheduled jobs that come after all others since
+// they count as too late from their submission on.
+func TestScheduledJobIsInTimeWhenItIsDue(t *testing.T) {
+	tests := map[string]func(b *bench, s JobSubmitted){
+		"its first holder": func(*bench, JobSubmitted) {},
+		"a later holder": func(b *bench, s JobSubmitted) {
+			records := []JobRecord{recordOf(b.p.jobs[s.Job.ID])}
+			b.p = New(epoch+1, b.now, b.p.settings, WithTimeOfDay(b.p.clock))
+			b.p.Inform(b.now, s)
+			b.p.Inform(b.now, JobsRestored{Records: records})
+			b.update(0)
+		},
+	}
+	for name, then := range tests {
+		t.Run(name, func(t *testing.T) {
+			b, s := scheduledBench(t, 2)
+			b.update(time.Minute)
+			then(b, s)
+			if j := b.p.jobs[s.Job.ID]; j.ready != 4 || b.p.lateness(j) != inTime {
+				t.Errorf("lateness %d with %d tasks ready, want it in time with 4", b.p.lateness(j), j.ready)
+			}
+			b.update(30 * time.Second)
+			if j := b.p.jobs[s.Job.ID]; b.p.lateness(j) != tooLate {
+				t.Errorf("lateness %d half a minute later, want it too late", b.p.lateness(j))
+			}
+		})
+	}
+}
+
+// TestFinishedOccurrencesDoNotMakeAJobNearlyDone guards against late scheduled jobs that come before
+// all others for what they did at earlier times.
+func TestFinishedOccurrencesDoNotMakeAJobNearlyDone(t *testing.T) {
+	b, s := scheduledBench(t, 4)
+	j := b.p.jobs[s.Job.ID]
+	for k := range 3 {
+		b.update(time.Minute)
+		for i := range j.occurrences[k][0].tasks {
+			b.p.finishTask(&j.occurrences[k][0].tasks[i])
+		}
+	}
+	b.update(time.Minute)
+	if got := j.begunPart(); got != 0 {
+		t.Errorf("%v of the tasks count as begun, want none", got)
+	}
+}
