--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -90,10 +90,10 @@
 	queueSubmitted bool
 
 	submitted time.Time
-	// turned is when its caller's wait began: at its submission, or when its newest
+	// waitsSince is when its caller's wait began: at its submission, or when its newest
 	// occurrence was due. The objective counts from then.
-	turned    time.Time
-	objective time.Time
+	waitsSince time.Time
+	objective  time.Time
 	// occurrences holds the groups of those that are due.
 	occurrences map[int][]*group
 	// nextOccurrence is the first that is not yet due.
--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -49,7 +49,7 @@
 }
 
 // waitFrom sets from when on the caller of a job waits for it.
-func (j *job) waitFrom(at time.Time) { j.turned, j.objective = at, objectiveOf(j, at) }
+func (j *job) waitFrom(at time.Time) { j.waitsSince, j.objective = at, objectiveOf(j, at) }
 
 // restOfChain returns the longest estimated chain of work that is left of a job.
 func (j *job) restOfChain() time.Duration {
@@ -112,7 +112,7 @@
 	switch {
 	case spare >= 0:
 		return inTime
-	case spare < -lateUse*j.objective.Sub(j.turned):
+	case spare < -lateUse*j.objective.Sub(j.waitsSince):
 		return tooLate
 	case j.begunPart() >= nearlyDone:
 		return inTime
