A run that ends before its draining worker leaves is not moved

Callers would see tasks begin again that had up to half of a notice left (work thrown away): all at a worker that drains when a cell changes hands, and late ones where a worker tells again how long it stays.

Cause: how long a worker stays was counted from when it was first seen to drain, which a new holder that finds it draining never saw (zero time, so that all runs were late), and what the worker tells now was added to that moment: a worker that told 4 s, and 2 s two seconds later, was taken to leave at once.

Evidence: TestRunThatEndsInTimeStaysOnADrainingWorker, before: the run is stopped in "told again as time passes" and "to a new holder"; "told once" held.

The planner notes until when the worker stays whenever it first drains or tells another time.

--- a/internal/planner/drainer.go
+++ b/internal/planner/drainer.go
@@ -1,6 +1,10 @@
 package planner
 
-import "time"
+import (
+	"time"
+
+	"github.com/balsamcove/balsamcove/internal/connector"
+)
 
 const (
 	// usualNotice is the time left to a draining worker that does not tell.
@@ -9,17 +13,21 @@
 	moveTime = 300 * time.Millisecond
 )
 
+// notice returns how much longer a draining worker stays when its entry was written.
+func notice(e connector.WorkerEntry) time.Duration {
+	if e.Remaining != nil {
+		return *e.Remaining
+	}
+	return usualNotice
+}
+
 // emptyDraining moves runs away from a draining worker that would not end before
 // it leaves. Tasks that last move at once.
 func (p *Planner) emptyDraining(w *worker) {
 	if !w.entry.Draining {
 		return
 	}
-	left := usualNotice
-	if w.entry.Remaining != nil {
-		left = *w.entry.Remaining
-	}
-	leaves := w.drainingSince.Add(left - moveTime)
+	leaves := w.leaves.Add(-moveTime)
 	for _, r := range w.runs {
 		if r.phase != runActive || r.unwanted || r.task.group.step.Gang {
 			continue
--- a/internal/planner/life_test.go
+++ b/internal/planner/life_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
 	"github.com/balsamcove/balsamcove/pkg/submitter"
 )
 
@@ -44,3 +45,50 @@
 		})
 	}
 }
+
+// TestRunThatEndsInTimeStaysOnADrainingWorker guards against work that is thrown away although it
+// would have ended before its worker leaves.
+func TestRunThatEndsInTimeStaysOnADrainingWorker(t *testing.T) {
+	const left = 4 * time.Second
+	draining := func(left time.Duration) connector.WorkerEntry {
+		e := workerEntry("w")
+		e.Draining, e.Remaining = true, &left
+		return e
+	}
+	tests := map[string]func(b *bench, s StartRun){
+		"told once": func(b *bench, _ StartRun) { b.dir.Workers["w"] = draining(left) },
+		"told again as time passes": func(b *bench, s StartRun) {
+			for passed := time.Duration(0); passed < left/2; passed += left / 8 {
+				b.dir.Workers["w"] = draining(left - passed)
+				b.answer("w", connector.HoldAnswer{Active: []connector.ActiveRun{{Run: s.Order.Run}}})
+				b.update(left / 8)
+			}
+		},
+		"to a new holder": func(b *bench, s StartRun) {
+			records := []JobRecord{recordOf(b.p.jobs[s.Order.Run.Task.Job])}
+			def := b.p.jobs[s.Order.Run.Task.Job].def
+			b.p = New(epoch+1, b.now, b.p.settings)
+			b.p.Inform(b.now, JobSubmitted{Job: def, Queue: queueConfig})
+			b.p.Inform(b.now, JobsRestored{Records: records})
+			b.dir.Workers["w"] = draining(left)
+		},
+	}
+	for name, drain := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, workerEntry("w"))
+			b.update(0)
+			b.look("w", connector.HoldAnswer{})
+			s := b.startOne(submitter.Step{Count: 1, Size: small, Estimate: identifier.Duration(left / 2)})
+			b.confirm(s)
+			drain(b, s)
+			b.update(0)
+			b.answer("w", connector.HoldAnswer{Active: []connector.ActiveRun{{Run: s.Order.Run, Percent: 90}}})
+			if stop, ok := find[StopRun](b.commands, func(StopRun) bool { return true }); ok {
+				t.Errorf("run %v is stopped", stop.Run)
+			}
+			if r := b.p.workers["w"].runs[s.Order.Run]; r == nil || r.unwanted {
+				t.Error("the run is given up")
+			}
+		})
+	}
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -130,8 +130,8 @@
 	scavengerShares estimator.Load
 	// slack is the least that was last seen.
 	slack estimator.Slack
-	// drainingSince is when the worker was first seen to drain.
-	drainingSince time.Time
+	// leaves is until when a draining worker stays at least, by what it last told.
+	leaves time.Time
 	// sufferingSince is since when a tail is above its target; quietUntil keeps
 	// scavengers away.
 	sufferingSince time.Time
@@ -336,7 +336,9 @@
 	w := p.workerOf(id)
 	if w.listed && !w.entry.Draining && entry.Draining {
 		p.log.WorkerChanged(id, "draining")
-		w.drainingSince = p.now
+	}
+	if entry.Draining && (!w.entry.Draining || notice(entry) != notice(w.entry)) {
+		w.leaves = p.now.Add(notice(entry))
 	}
 	if !w.listed {
 		w.nextHold = p.now
