Each cell has workers of each kind

In a deployment of more than 900 workers with a service, or a required label, that only some of them have, callers would see jobs that never run though their workers are idle (LOST): jobs and workers are dealt to cells by their identities, and cells lend no room. Of three workers of a service all are in one of two cells once in four times; half of its jobs wait for ever then.

Cause: the number of cells followed the workers of all services together.

Evidence: TestEachCellHasWorkersOfEachKind, before: 2 cells for 1,800 workers of which 3 are of a kind, want 1; 6 for 4,800 with 200 and 199 of a kind, want 2 and 1. TestIdentitiesAreDealtToAllCells: dealt 100 to a cell, none of 2 to 12 cells gets less than 50 in 50 deals each.

The count tells the workers of the rarest kind too, racks left out, and each cell gets 100 of them on the average. All sites here have one service; their numbers of cells stay as they were if their kinds have 100 workers a cell. Open: services without workers at the first start (spare pools) are not known to the count, and the emptying of a kind in one cell later.

--- a/internal/sharder/sharder.go
+++ b/internal/sharder/sharder.go
@@ -28,6 +28,9 @@
 	// WorkersPerCell is how many workers one host decides for: with 1,800 its processor
 	// bounds the starts a second (docs/CAPACITY.md).
 	WorkersPerCell = 900
+	// leastOfAKind is how many workers of each kind a cell has on the average at least: some
+	// have a third less, as their identities are dealt.
+	leastOfAKind = 100
 	// MaxCells bounds the cells: each is a partition of the store's topics.
 	MaxCells = 12
 
@@ -49,10 +52,17 @@
 	Cells int `cbor:"1,keyasint"`
 }
 
+// Workers counts those of a deployment.
+type Workers struct {
+	// All are those of all services, Fewest those of the kind of worker that there are the
+	// fewest of: a service, or a label in it that a step may require.
+	All, Fewest int
+}
+
 // Sharder finds the number of cells in the store, or decides it.
 type Sharder struct {
 	store  connector.Store
-	count  func(context.Context) (int, error)
+	count  func(context.Context) (Workers, error)
 	delay  time.Duration
 	logger *zap.Logger
 }
@@ -65,7 +75,7 @@
 func WithDelay(d time.Duration) Option { return func(s *Sharder) { s.delay = d } }
 
 // New returns a sharder; count tells how many workers there are now.
-func New(store connector.Store, count func(context.Context) (int, error), logger *zap.Logger, opts ...Option) *Sharder {
+func New(store connector.Store, count func(context.Context) (Workers, error), logger *zap.Logger, opts ...Option) *Sharder {
 	s := &Sharder{store: store, count: count, logger: logger}
 	for _, o := range opts {
 		o(s)
@@ -171,11 +181,11 @@
 		}
 	}
 	workers, err := s.count(ctx)
-	if err != nil || !seen.settled(workers) {
+	if err != nil || !seen.settled(workers.All) {
 		return 0, err
 	}
 	cells := CellsFor(workers)
-	s.logger.Info("layout proposed", zap.Int("workers", workers), zap.Int("cells", cells))
+	s.logger.Info("layout proposed", zap.Int("workers", workers.All), zap.Int("fewestOfAKind", workers.Fewest), zap.Int("cells", cells))
 	return cells, nil
 }
 
@@ -193,7 +203,8 @@
 	return workers > 0 && workers <= before || c.counts >= maxCounts
 }
 
-// CellsFor returns the number of cells for a number of workers.
-func CellsFor(workers int) int {
-	return min(max((workers+WorkersPerCell-1)/WorkersPerCell, 1), MaxCells)
+// CellsFor returns the number of cells for the workers that there are: cells lend no room, so
+// that each needs workers of each kind.
+func CellsFor(w Workers) int {
+	return max(min((w.All+WorkersPerCell-1)/WorkersPerCell, w.Fewest/leastOfAKind, MaxCells), 1)
 }
--- a/internal/sharder/sharder_test.go
+++ b/internal/sharder/sharder_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,19 +17,20 @@
 	"github.com/balsamcove/balsamcove/internal/dispatcher"
 	"github.com/balsamcove/balsamcove/internal/intake"
 	"github.com/balsamcove/balsamcove/internal/simulator"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
 
-// counting returns counts one after the other; the last one stays.
-func counting(counts ...int) func(context.Context) (int, error) {
+// counting returns counts of workers of one kind one after the other; the last one stays.
+func counting(counts ...int) func(context.Context) (Workers, error) {
 	var mu sync.Mutex
-	return func(context.Context) (int, error) {
+	return func(context.Context) (Workers, error) {
 		mu.Lock()
 		defer mu.Unlock()
 		n := counts[0]
 		if len(counts) > 1 {
 			counts = counts[1:]
 		}
-		return n, nil
+		return Workers{n, n}, nil
 	}
 }
 
@@ -68,6 +72,45 @@
 	}
 }
 
+// TestEachCellHasWorkersOfEachKind guards against jobs that wait for ever since all workers of their
+// service, or with the label that they require, belong to other cells.
+func TestEachCellHasWorkersOfEachKind(t *testing.T) {
+	tests := map[string]struct {
+		workers Workers
+		want    int
+	}{
+		"one kind":          {Workers{4800, 4800}, 6},
+		"a rare kind":       {Workers{1800, 3}, 1},
+		"enough for two":    {Workers{4800, 2 * leastOfAKind}, 2},
+		"no longer for two": {Workers{4800, 2*leastOfAKind - 1}, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := CellsFor(tt.workers); got != tt.want {
+				t.Errorf("%d cells, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestIdentitiesAreDealtToAllCells guards against cells with too few workers of a kind of which
+// there are enough on the average.
+func TestIdentitiesAreDealtToAllCells(t *testing.T) {
+	const deals, least = 50, leastOfAKind / 2
+	source := rand.New(rand.NewPCG(1, 1))
+	for cells := 2; cells <= MaxCells; cells++ {
+		for range deals {
+			dealt := make([]int, cells)
+			for range cells * leastOfAKind {
+				dealt[identifier.CellOf(identifier.Job(fmt.Sprintf("%016x", source.Uint64())), cells)]++
+			}
+			if got := slices.Min(dealt); got < least {
+				t.Errorf("of %d cells one has %d workers, want %d", cells, got, least)
+			}
+		}
+	}
+}
+
 // TestHostsAgreeOnCells checks that hosts which count differently, start at the same time
 // and later, and lose answers of the store all use the same number of cells.
 func TestHostsAgreeOnCells(t *testing.T) {
@@ -164,9 +207,9 @@
 		go func() {
 			_, _ = New(store.Client("large"), counting(1800), zap.NewNop()).Agree(t.Context())
 		}()
-		never := func(context.Context) (int, error) {
+		never := func(context.Context) (Workers, error) {
 			t.Error("the workers were counted")
-			return 1, nil
+			return Workers{1, 1}, nil
 		}
 		got, err := New(store.Client("small"), never, zap.NewNop(), WithDelay(4*time.Second)).Agree(t.Context())
 		if err != nil || got != 2 {
