A run that begins after its stop was answered is stopped again

Callers would see tasks of a cancelled job run on to their end (UNASKED; for ever if they last), and a task that was moved off a worker stay there and take its room.

Cause: a stop that is answered counts as carried out for good. A start may be carried out after a stop that was sent later, by the same life of the worker or the next one; the worker lists the run then, and nothing asked again. Only a start whose answer came was followed by another stop.

A run that is still listed 1 s after its stop was answered is stopped again, and so on: workers let a run that is stopped take 0.9 s here, and a stop that is repeated changes nothing.

--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -242,7 +242,7 @@
 		r.task.checkpoint = a.Checkpoint
 	}
 	r.tail, r.used = a.Tail, a.Used
-	if r.unwanted && !r.stopSent {
+	if r.unwanted && p.needsStop(r) {
 		p.stop(r)
 	}
 }
--- a/internal/planner/stopper.go
+++ b/internal/planner/stopper.go
@@ -34,6 +34,15 @@
 	}
 }
 
+// stopRepeat is after how long a run that is still listed is stopped again: what was stopped
+// has gone by then, so that its start was carried out after the stop.
+const stopRepeat = time.Second
+
+// needsStop reports whether a run that is not wanted, and listed, has to be told to stop.
+func (p *Planner) needsStop(r *run) bool {
+	return !r.stopSent || !r.stoppedAt.IsZero() && p.now.Sub(r.stoppedAt) >= stopRepeat
+}
+
 // stopsFull reports whether stops take all of the window, so that more have to wait.
 func (p *Planner) stopsFull() bool { return len(p.stops.sent) >= p.orders.Limit() }
 
@@ -43,7 +52,7 @@
 		p.orders.Enter()
 	}
 	p.stops.sent[at] = p.now
-	r.stopSent = true
+	r.stopSent, r.stoppedAt = true, time.Time{}
 	p.emit(StopRun{To: r.worker.target(), Run: r.id, Epoch: p.epochOf(r.worker)})
 }
 
@@ -82,7 +91,9 @@
 	w := r.worker
 	if e.Err == nil {
 		w.heard(p.now, e.Answer.Clock)
-		r.stopSent = e.Answer.Verdict == connector.VerdictOK
+		if e.Answer.Verdict == connector.VerdictOK {
+			r.stopSent, r.stoppedAt = true, p.now
+		}
 	}
 	w.nextHold = p.now
 }
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -55,6 +55,8 @@
 	// stopSent is set while a stop is under way or was carried out, stopHeld while one waits
 	// for the window of stops.
 	stopSent, stopHeld bool
+	// stoppedAt is when the last stop was carried out; zero while one is under way.
+	stoppedAt time.Time
 	// listedIn is the number of the last look that listed the run.
 	listedIn int
 	percent  int
