The newest records come through other hosts in pages that the links carry

Cause: a read of records through another host is bounded, and follows what the links carry; the newest records of all keys came in pages of the store, up to 1 MB, in 0.4 s or not at all, again and again.

Evidence: TestNewestThroughOtherHostsFollowTheLink, 200 kB at 90 kB/s, before: "not read within 12s: client is turned away".

The host that reads tells how many bytes of a page it takes, by a pace of its own, and goes on after the last key. Hosts of earlier releases send whole pages, as before.

--- a/internal/dialer/store.go
+++ b/internal/dialer/store.go
@@ -44,7 +44,7 @@
 		After     string              `json:"after,omitempty"`
 		From      identifier.Offset   `json:"from,omitempty"`
 		WaitMs    int64               `json:"waitMs,omitempty"`
-		// MaxBytes bounds the records of a read, of which there is at least one; zero leaves
+		// MaxBytes bounds the records of a read or page, of which there is at least one; zero leaves
 		// the bound to the host that reads.
 		MaxBytes int `json:"maxBytes,omitempty"`
 		// Packed asks for a PackedReading, if the other side knows it.
@@ -93,6 +93,13 @@
 	return page, err
 }
 
+// NewestSome returns the newest records as Newest does, at most so many bytes of them if the
+// other side knows that bound.
+func (s *Store) NewestSome(ctx context.Context, topic connector.Topic, part connector.Partition, after string, most int) (page connector.KeyedPage, err error) {
+	err = s.call(ctx, messenger.MethodNewest, PartitionCall{Topic: topic, Partition: part, After: after, MaxBytes: most}, &page)
+	return page, err
+}
+
 // Read implements connector.Store.
 func (s *Store) Read(ctx context.Context, topic connector.Topic, part connector.Partition, from identifier.Offset, wait time.Duration) (out connector.Reading, err error) {
 	err = s.call(ctx, messenger.MethodRead, PartitionCall{Topic: topic, Partition: part, From: from, WaitMs: wait.Milliseconds()}, &out)
--- a/internal/relayer/pace.go
+++ b/internal/relayer/pace.go
@@ -24,12 +24,12 @@
 	return p.bytes
 }
 
-// after returns the pace after a read of most bytes.
-func (p pace) after(most int, r connector.Reading, err error) pace {
+// after returns the pace after a read of most bytes; more is set if it left records.
+func (p pace) after(most int, more bool, err error) pace {
 	switch {
 	case errors.Is(err, connector.ErrUnknown):
 		return pace{max(most/2, leastRelayed)}
-	case err == nil && r.More:
+	case err == nil && more:
 		return pace{min(most+most/4, relayedBytes)}
 	default:
 		return p
@@ -49,11 +49,11 @@
 	return p.of[topic].most()
 }
 
-func (p *paces) note(topic connector.Topic, most int, r connector.Reading, err error) {
+func (p *paces) note(topic connector.Topic, most int, more bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.of == nil {
 		p.of = map[connector.Topic]pace{}
 	}
-	p.of[topic] = p.of[topic].after(most, r, err)
+	p.of[topic] = p.of[topic].after(most, more, err)
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -45,8 +45,9 @@
 	rpc    *messenger.Client
 	source logger.Dependency
 	// link is what this host's link carries, in bytes a second; zero is plenty.
-	link  int
-	paces paces
+	link int
+	// paces are those of reads, pages those of the newest records.
+	paces, pages paces
 
 	mu    sync.Mutex
 	peers func() []string
@@ -350,7 +351,14 @@
 // Newest implements connector.Store.
 func (s *Store) Newest(ctx context.Context, topic connector.Topic, part connector.Partition, after string) (connector.KeyedPage, error) {
 	return relay(ctx, s, 0, func(ctx context.Context, st connector.Store) (connector.KeyedPage, error) {
-		return st.Newest(ctx, topic, part, after)
+		other, ok := st.(otherHost)
+		if !ok {
+			return st.Newest(ctx, topic, part, after)
+		}
+		most := s.pages.most(topic)
+		page, err := other.NewestSome(ctx, topic, part, after, most)
+		s.pages.note(topic, most, page.More, err)
+		return page, err
 	})
 }
 
@@ -363,7 +371,7 @@
 		}
 		most := s.paces.most(topic)
 		r, err := other.ReadSome(ctx, topic, part, from, wait, most)
-		s.paces.note(topic, most, r, err)
+		s.paces.note(topic, most, r.More, err)
 		return r, err
 	})
 }
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -332,6 +332,40 @@
 	}
 }
 
+// TestNewestThroughOtherHostsFollowTheLink guards against a host which the store turns away, and which
+// never reads the state of a cell or the list of workers: a page was more than the link carries in time.
+func TestNewestThroughOtherHostsFollowTheLink(t *testing.T) {
+	const rest, records, within = 90_000, 200, 12 * time.Second
+	store := simulator.NewStore(1, 1)
+	for i := range records {
+		_, err := store.Client("worker").Append(t.Context(), connector.KeyedAppend{
+			Topic: "servers", Records: []connector.KeyedRecord{{Key: fmt.Sprintf("%03d", i), Value: make([]byte, 1<<10)}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	store.SetFaults(simulator.StoreFaults{Refused: map[string]bool{"self": true}})
+	addresses := []string{
+		slowWay(t, peer(t, store, "p1"), rest), slowWay(t, peer(t, store, "p2"), rest),
+	}
+	s := relayer.New(store.Client("self"), zap.NewNop())
+	defer s.Close()
+	s.UsePeers(func() []string { return append([]string(nil), addresses...) })
+	for end := time.Now().Add(within); ; {
+		all, _, err := connector.NewestAll(t.Context(), s, "servers", 0)
+		if err == nil {
+			if len(all) != records {
+				t.Errorf("%d of %d records", len(all), records)
+			}
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("not read within %v: %v", within, err)
+		}
+	}
+}
+
 // arriving is a store whose answer to a read keeps arriving for some time.
 type arriving struct {
 	connector.Store
--- a/internal/relayer/server.go
+++ b/internal/relayer/server.go
@@ -34,7 +34,8 @@
 		return s.Append(ctx, a)
 	}),
 	messenger.MethodNewest: decoded(func(ctx context.Context, s connector.Store, c dialer.PartitionCall) (connector.KeyedPage, error) {
-		return s.Newest(ctx, c.Topic, c.Partition, c.After)
+		page, err := s.Newest(ctx, c.Topic, c.Partition, c.After)
+		return firstOfPage(page, c.MaxBytes), err
 	}),
 	messenger.MethodRead: decoded(func(ctx context.Context, s connector.Store, c dialer.PartitionCall) (any, error) {
 		r, err := s.Read(connector.WithMostBytes(ctx, boundOf(c.MaxBytes)), c.Topic, c.Partition, c.From, time.Duration(c.WaitMs)*time.Millisecond)
@@ -84,6 +85,22 @@
 	return r
 }
 
+// firstOfPage returns the first records of a page that may be relayed, at least one; asked is
+// what the other host asked for. One that told no bound takes the whole page.
+func firstOfPage(page connector.KeyedPage, asked int) connector.KeyedPage {
+	if asked <= 0 {
+		return page
+	}
+	size := 0
+	for i, rec := range page.Records {
+		if size += connector.Bytes(rec); i > 0 && size > boundOf(asked) {
+			page.Records, page.More = page.Records[:i], true
+			break
+		}
+	}
+	return page
+}
+
 // serveTimeout bounds a call that was made for another host, beyond its wait.
 const serveTimeout = 2 * time.Second
 
