--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -335,7 +335,7 @@
 // TestNewestThroughOtherHostsFollowTheLink guards against a host which the store turns away, and which
 // never reads the state of a cell or the list of workers: a page was more than the link carries in time.
 func TestNewestThroughOtherHostsFollowTheLink(t *testing.T) {
-	const rest, records, within = 90_000, 200, 12 * time.Second
+	const rest, records, within = 250_000, 400, 12 * time.Second
 	store := simulator.NewStore(1, 1)
 	for i := range records {
 		_, err := store.Client("worker").Append(t.Context(), connector.KeyedAppend{
