A layout waits for 1.2 s without a new worker

Two equal counts 0.3 s apart settled the number of cells for good; workers that pause as they come made too few of them (the reviewer's trial: counts of 10, 10, 1800 gave one cell). The row 'a pause between' of TestCellsFollowTheWorkers failed before with 1 cell, want 2.

--- a/internal/sharder/sharder.go
+++ b/internal/sharder/sharder.go
@@ -39,6 +39,9 @@
 	// pause is the time between two tries, and between two counts of the workers: while a
 	// large deployment starts, many report within it.
 	pause = 300 * time.Millisecond
+	// calmCounts is after how many counts without a new worker no more are waited for: those
+	// of 1.2 s, longer than workers take from one report to the next.
+	calmCounts = 4
 	// maxCounts bounds the counts; workers report about once a second, some 4 s after the
 	// hosts have started.
 	maxCounts = 30
@@ -192,15 +195,19 @@
 // census compares counts of the workers. Those of a deployment that starts as a whole
 // come one after the other, each with its first report.
 type census struct {
-	counts  int
-	workers int
+	// counts are those taken, and calm the last of them that were no higher than before.
+	counts, calm int
+	most         int
 }
 
 // settled takes a count and reports whether no more workers come.
 func (c *census) settled(workers int) bool {
-	before := c.workers
-	c.counts, c.workers = c.counts+1, workers
-	return workers > 0 && workers <= before || c.counts >= maxCounts
+	c.counts++
+	c.calm++
+	if workers > c.most {
+		c.most, c.calm = workers, 0
+	}
+	return c.most > 0 && c.calm >= calmCounts || c.counts >= maxCounts
 }
 
 // CellsFor returns the number of cells for the workers that there are: cells lend no room, so
--- a/internal/sharder/sharder_test.go
+++ b/internal/sharder/sharder_test.go
@@ -58,6 +58,7 @@
 		"beyond all":         {[]int{1_000_000}, MaxCells},
 		"they come late":     {[]int{0, 0, 1800}, 2},
 		"they come by turns": {[]int{10, 900, 1800, 1800}, 2},
+		"a pause between":    {[]int{10, 10, 10, 1800, 1800}, 2},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
