Revert "Jobs that can't be served in time are refused at once"

The share of a queue fell to 0.1 within 9 s and stayed between 0.1 and 0.56, since the rate at which tasks begin, by which it is set, falls with the share.

--- a/internal/carrier/host.go
+++ b/internal/carrier/host.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/balsamcove/balsamcove/internal/admitter"
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/messenger"
@@ -48,8 +47,6 @@
 	locator Locator
 	logger  *zap.Logger
 	uptime  func() time.Duration
-	// learn is told what holders accept, and at which uptime they were asked.
-	learn func(w admitter.Word, askedAt time.Duration)
 }
 
 // HostOption changes a new host.
@@ -59,14 +56,9 @@
 // orders that are too old are told.
 func WithUptime(now func() time.Duration) HostOption { return func(h *Host) { h.uptime = now } }
 
-// WithLearner sets what is told what a holder accepts, and at which uptime it was asked.
-func WithLearner(learn func(w admitter.Word, askedAt time.Duration)) HostOption {
-	return func(h *Host) { h.learn = learn }
-}
-
 // NewHost returns a host that makes calls by runner once Run is called.
 func NewHost(o Offer, runner connector.Runner, l Locator, log *zap.Logger, opts ...HostOption) *Host {
-	h := &Host{offer: o, runner: runner, locator: l, logger: log, uptime: uptimer.Now, learn: func(admitter.Word, time.Duration) {}}
+	h := &Host{offer: o, runner: runner, locator: l, logger: log, uptime: uptimer.Now}
 	for _, opt := range opts {
 		opt(h)
 	}
@@ -187,12 +179,7 @@
 func (s *service) beatOnce(ctx context.Context, peer messenger.Peer, m beat) error {
 	ctx, cancel := context.WithTimeout(ctx, silence)
 	defer cancel()
-	var word admitter.Word
-	if err := peer.Call(ctx, messenger.MethodAnswers, m, &word); err != nil {
-		return err
-	}
-	s.host.learn(word, m.SentAt)
-	return nil
+	return peer.Call(ctx, messenger.MethodAnswers, m, nil)
 }
 
 // handle answers the holder's calls, of which there are none.
--- a/internal/carrier/pool.go
+++ b/internal/carrier/pool.go
@@ -21,7 +21,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/balsamcove/balsamcove/internal/admitter"
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/messenger"
@@ -61,8 +60,6 @@
 	logger *zap.Logger
 	uptime func() time.Duration
 	packed bool
-	// word is what hosts are told in the answers to their beats.
-	word func() admitter.Word
 
 	mu       sync.Mutex
 	open     bool
@@ -79,15 +76,10 @@
 // processor, and memory for each host, and less of the link.
 func WithPacked(packed bool) PoolOption { return func(p *Pool) { p.packed = packed } }
 
-// WithWord sets what hosts are told, in the answers to their beats, of what this holder
-// accepts.
-func WithWord(word func() admitter.Word) PoolOption { return func(p *Pool) { p.word = word } }
-
 // NewPool returns a pool that makes calls by own while the workers are at most direct.
 func NewPool(own connector.Runner, direct int, log *zap.Logger, opts ...PoolOption) *Pool {
 	p := &Pool{
 		own: own, direct: direct, logger: log, uptime: uptimer.Now,
-		word:     func() admitter.Word { return nil },
 		assigner: newAssigner[messenger.Peer](), sessions: map[messenger.Peer]*session{},
 	}
 	for _, o := range opts {
@@ -197,10 +189,7 @@
 		taken, err := p.offered(ctx, params)
 		return taken, true, err
 	case messenger.MethodAnswers:
-		if err := p.answered(ctx, params); err != nil {
-			return nil, true, err
-		}
-		return p.word(), true, nil
+		return nil, true, p.answered(ctx, params)
 	default:
 		return nil, false, nil
 	}
--- a/internal/dispatcher/saver.go
+++ b/internal/dispatcher/saver.go
@@ -43,11 +43,7 @@
 		return err
 	}
 	if len(records) > 0 {
-		began := time.Now()
-		t.storingSince.Store(&began)
-		err := t.append(ctx, records)
-		t.storingSince.Store(nil)
-		if err != nil {
+		if err := t.append(ctx, records); err != nil {
 			return err
 		}
 	}
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -57,7 +57,6 @@
 	p.Inform(now, planner.JobsRestored{Records: t.jobRecords(work)}, planner.HarmsRestored{Records: t.harmRecords(work)})
 	t.mu.Lock()
 	t.planner, t.inbox = p, next
-	t.inboxSeen.Store(int64(next))
 	t.mu.Unlock()
 	t.logger.Info("term begins", zap.Uint64("epoch", uint64(epoch)), zap.Int("jobs", p.Stats().Jobs),
 		zap.Int("runs", p.Stats().Runs), zap.Duration("took", time.Since(began)))
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/balsamcove/balsamcove/internal/admitter"
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/intake"
 	"github.com/balsamcove/balsamcove/internal/logger"
@@ -83,15 +82,6 @@
 	pool   *ants.Pool
 	// withheld is set while leases are not renewed, since the store was not reached.
 	withheld atomic.Bool
-	// admission is what is accepted; nil is everything.
-	admission atomic.Pointer[admitter.Admission]
-	refreshes refreshes
-	// seen are the submissions that were read lately, and inboxSeen is the offset up to
-	// which the planner has them.
-	seen      seenJobs
-	inboxSeen atomic.Int64
-	// storingSince is since when an append of the cell's state is under way.
-	storingSince atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	planner *planner.Planner
@@ -153,7 +143,6 @@
 	g.Go(func() error { return t.followInbox(ctx) })
 	g.Go(func() error { return t.plan(ctx) })
 	g.Go(func() error { return t.keepSaving(ctx) })
-	g.Go(func() error { return t.keepAdmitting(ctx) })
 	g.Go(func() error { return t.reportStats(ctx) })
 	return g.Wait()
 }
@@ -320,7 +309,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inbox = max(t.inbox, next)
-	t.inboxSeen.Store(int64(t.inbox))
 	t.planner.Inform(time.Now(), events...)
 }
 
@@ -335,7 +323,6 @@
 		switch {
 		case !ok:
 		case e.Submission != nil:
-			t.seen.add(e.Submission.Job.ID)
 			events = append(events, planner.JobSubmitted{Job: e.Submission.Job, Queue: e.Submission.Queue, Key: r.Key, At: e.Submission.At})
 		case e.Cancellation != nil:
 			events = append(events, planner.JobCancelled{ID: e.Cancellation.ID, At: e.Cancellation.At})
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
-	"github.com/balsamcove/balsamcove/internal/admitter"
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/messenger"
@@ -39,10 +38,6 @@
 	Report(ctx context.Context, id identifier.Job) (r submitter.Report, known bool, err error)
 	Explain(ctx context.Context, id identifier.Job) (e submitter.Explanation, known bool, err error)
 	List(s submitter.Selection) (submitter.Reports, error)
-	// Admission returns which part of the new jobs is accepted.
-	Admission() admitter.Admission
-	// Known reports whether a job was stored before the call.
-	Known(ctx context.Context, id identifier.Job) (bool, error)
 }
 
 // Service accepts jobs and answers questions at one host.
@@ -52,33 +47,21 @@
 	cells    int
 	batchers []*batcher
 	held     func(identifier.Cell) (Holder, bool)
-	board    Board
 	logger   *zap.Logger
-
-	uncertain uncertain
 }
 
-// Option changes a new service.
-type Option func(*Service)
-
 // New returns a service. Held returns the holder of a cell if it is this host.
-func New(store connector.Store, rpc *messenger.Client, locator *Locator, cells int, held func(identifier.Cell) (Holder, bool), logger *zap.Logger, opts ...Option) *Service {
+func New(store connector.Store, rpc *messenger.Client, locator *Locator, cells int, held func(identifier.Cell) (Holder, bool), logger *zap.Logger) *Service {
 	s := &Service{rpc: rpc, locator: locator, cells: cells, held: held, logger: logger}
 	for cell := range cells {
 		s.batchers = append(s.batchers, &batcher{store: store, part: connector.Partition(cell)})
 	}
-	for _, o := range opts {
-		o(s)
-	}
 	return s
 }
 
-// Submit stores a job, unless its holder can't serve it in time. The error is a
-// *refuser.Refusal; only one of unknown effect leaves open whether the job runs.
+// Submit stores a job. The error is a *refuser.Refusal; only one of unknown
+// effect leaves open whether the job runs.
 func (s *Service) Submit(ctx context.Context, in Submission) error {
-	if r := s.reject(ctx, &in.Job); r != nil {
-		return r
-	}
 	record, err := EncodeSubmission(in)
 	if err != nil {
 		return refuser.New(refuser.CodeInvalid, "%v", err)
@@ -102,11 +85,6 @@
 // unknown outcome is made again.
 func (s *Service) put(ctx context.Context, cell identifier.Cell, record connector.KeyedRecord, id identifier.Job) error {
 	unknown := false
-	defer func() {
-		if unknown {
-			s.uncertain.add(id)
-		}
-	}()
 	for ctx.Err() == nil {
 		err := s.batchers[cell].put(ctx, record)
 		if err == nil {
@@ -126,8 +104,8 @@
 	return refuser.NewUnknown(refuser.CodeUnavailable, "the store did not answer in time")
 }
 
-func (s *Service) call(ctx context.Context, timeout time.Duration, peer string, method messenger.Method, params, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (s *Service) call(ctx context.Context, peer string, method messenger.Method, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	return s.rpc.Call(ctx, peer, method, params, result)
 }
@@ -185,11 +163,6 @@
 var errNoHolder = errors.New("holder is not known")
 
 func (s *Service) askOnce(ctx context.Context, cell identifier.Cell, here func(context.Context, Holder) error, method messenger.Method, params, result any) error {
-	return s.askOnceWithin(ctx, askTimeout, cell, here, method, params, result)
-}
-
-// askOnceWithin asks the holder of a cell; the timeout bounds the call of another host.
-func (s *Service) askOnceWithin(ctx context.Context, timeout time.Duration, cell identifier.Cell, here func(context.Context, Holder) error, method messenger.Method, params, result any) error {
 	if h, ok := s.held(cell); ok {
 		return here(ctx, h)
 	}
@@ -197,7 +170,7 @@
 	if address == "" || address == s.locator.self {
 		return errNoHolder
 	}
-	return s.call(ctx, timeout, address, method, params, result)
+	return s.call(ctx, address, method, params, result)
 }
 
 // Handle answers the calls of other hosts.
@@ -211,8 +184,6 @@
 		return handle(ctx, s, params, Holder.Report)
 	case messenger.MethodJobExplain:
 		return handle(ctx, s, params, Holder.Explain)
-	case messenger.MethodJobKnown:
-		return s.handleKnown(ctx, params)
 	case messenger.MethodJobList:
 		return s.handleList(params)
 	default:
@@ -220,14 +191,6 @@
 	}
 }
 
-func (s *Service) handleKnown(ctx context.Context, params json.RawMessage) (any, error) {
-	var in stateCall
-	if err := json.Unmarshal(params, &in); err != nil {
-		return nil, refuser.New(refuser.CodeInvalid, "%v", err)
-	}
-	return askHere(s, identifier.CellOf(in.ID, s.cells), func(h Holder) (bool, error) { return h.Known(ctx, in.ID) })
-}
-
 func (s *Service) handleWaiting(params json.RawMessage) (any, error) {
 	var in waitingCall
 	if err := json.Unmarshal(params, &in); err != nil {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -35,7 +35,6 @@
 	MethodJobReport  Method = "jobReport"
 	MethodJobExplain Method = "jobExplain"
 	MethodJobList    Method = "jobList"
-	MethodJobKnown   Method = "jobKnown"
 )
 
 // The calls of scheduling hosts to a platform that speaks this project's own
--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -68,7 +68,6 @@
 	r.tries++
 	r.sentAt = p.now
 	p.counts.starts++
-	p.pressure.started(r.task.group.job.def.Queue)
 	ticket, _, _ := p.permitted(r.task.group, w)
 	p.emit(StartRun{To: w.target(), Order: connector.RunOrder{
 		Run: r.id, Spec: r.task.group.job.def.Spec, Epoch: r.epoch,
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -67,8 +67,6 @@
 	tasks      []task
 	done       int
 	ready      int
-	// unsent counts the claims whose starts are not sent.
-	unsent int
 	// tookSum and tookCount tell how long runs that were done took.
 	tookSum   time.Duration
 	tookCount int
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -108,8 +108,7 @@
 	orders *limiter.Window
 	stops  stopQueue
 
-	counts   counts
-	pressure pressure
+	counts counts
 
 	// waits bounds the log lines about steps that wait, overdue is what is known of runs
 	// that are held for long.
@@ -277,7 +276,6 @@
 		return
 	}
 	j.nextOccurrence = 1
-	p.pressure.came(&j.def)
 	p.activate(j, 0)
 	p.release(j, 0)
 }
--- a/internal/planner/window.go
+++ b/internal/planner/window.go
@@ -16,14 +16,12 @@
 // claimBegins counts a run whose start is not sent yet.
 func (p *Planner) claimBegins(r *run) {
 	r.unsent = true
-	r.task.group.unsent++
 	p.unsent++
 }
 
 func (p *Planner) claimEnds(r *run) {
 	if r.unsent {
 		r.unsent = false
-		r.task.group.unsent--
 		p.unsent--
 	}
 }
@@ -48,7 +46,6 @@
 
 // observeStart learns from how long the answer to a start took.
 func (p *Planner) observeStart(r *run, answered bool) {
-	p.pressure.took(p.now.Sub(r.sentAt))
 	if p.observeOrder(r.sentAt, answered) {
 		p.counts.startsLate++
 	}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/balsamcove/balsamcove/internal/admitter"
 	"github.com/balsamcove/balsamcove/internal/announcer"
 	"github.com/balsamcove/balsamcove/internal/carrier"
 	"github.com/balsamcove/balsamcove/internal/connector"
@@ -116,12 +115,11 @@
 	s.Term.Member = member
 	sup := &Supervisor{
 		settings: s, store: store, directory: directory, logger: logger, planLog: planLog,
-		rpc: messenger.NewClient(messenger.WithSilentDropped()), terms: map[identifier.Cell]*termRun{},
+		pool: carrier.NewPool(runner, s.Workers, logger, carrier.WithPacked(s.linkBinds())),
+		rpc:  messenger.NewClient(messenger.WithSilentDropped()), terms: map[identifier.Cell]*termRun{},
 	}
-	sup.pool = carrier.NewPool(runner, s.Workers, logger, carrier.WithPacked(s.linkBinds()), carrier.WithWord(sup.word))
-	board := admitter.NewBoard()
 	sup.locator = intake.NewLocator(store, s.Peers, s.Cells, logger)
-	sup.carrier = carrier.NewHost(carrier.Offer{Name: s.Name, DataCentre: s.DataCentre, Workers: s.Workers}, runner, sup.locator, logger, carrier.WithLearner(board.Learn))
+	sup.carrier = carrier.NewHost(carrier.Offer{Name: s.Name, DataCentre: s.DataCentre, Workers: s.Workers}, runner, sup.locator, logger)
 	store.UsePeers(sup.locator.Peers)
 	sup.announcer = announcer.New(s.Name, announcer.Announcement{Address: s.Peers, Cores: s.Cores}, store, logger)
 	candidacy := &candidacy{
@@ -131,7 +129,7 @@
 	for _, o := range opts {
 		o(sup)
 	}
-	sup.intake = intake.New(store, sup.rpc, sup.locator, s.Cells, sup.heldHere, logger, intake.WithBoard(board))
+	sup.intake = intake.New(store, sup.rpc, sup.locator, s.Cells, sup.heldHere, logger)
 	sup.elector = elector.New(elector.Settings{Member: member, Cells: s.Cells, TTL: s.MemberTTL}, store, logger, sup.cellsChanged,
 		elector.WithUptime(uptimer.Now), elector.WithCandidacy(candidacy.candidate))
 	return sup
@@ -219,17 +217,6 @@
 	return holder{t.term}, true
 }
 
-// word returns what the terms under way accept.
-func (s *Supervisor) word() admitter.Word {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := admitter.Word{}
-	for cell, t := range s.terms {
-		out[cell] = t.term.Admission()
-	}
-	return out
-}
-
 // cellsChanged begins and ends terms so that they are those of the held cells.
 func (s *Supervisor) cellsChanged(held []identifier.Cell) {
 	keep := map[identifier.Cell]bool{}
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -77,12 +77,6 @@
 }
 
 func startHost(t *testing.T, name string, store *simulator.Store, fleet *simulator.Fleet) *host {
-	t.Helper()
-	return startHostThatCalls(t, name, store, fleet, 0)
-}
-
-// startHostThatCalls starts a host that can call some workers for itself and others.
-func startHostThatCalls(t *testing.T, name string, store *simulator.Store, fleet *simulator.Fleet, workers int) *host {
 	t.Helper()
 	m, err := meter.New()
 	if err != nil {
@@ -95,7 +89,7 @@
 	d := &directory{fleet: fleet}
 	runner, cut := fleet.Client()
 	s := New(Settings{
-		Name: identifier.Entry(name), Life: "1", Peers: freeAddress(t), Cells: 1, MemberTTL: time.Second, Workers: workers,
+		Name: identifier.Entry(name), Life: "1", Peers: freeAddress(t), Cells: 1, MemberTTL: time.Second,
 		Term: dispatcher.Settings{
 			SaveInterval: 5 * time.Millisecond, RenewalGrace: 2 * time.Second,
 			Planner: planner.Settings{Lease: 3 * time.Second, Inherited: 5100 * time.Millisecond, Fresh: time.Second, Retention: time.Minute},
