A lasting task that has run is back before tasks that end take its room

It leaves room only before its first run now. TestLastingTaskThatRanIsBackSoon failed before: the start is that of the job that ends.

--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -178,8 +178,8 @@
 	lone bool
 	// lasts is set for a task that lasts, which leaves room to those that end.
 	lasts bool
-	// back is set for a task that serves and has run before, which may use the room
-	// that is left free for others.
+	// back is set for a task that serves or lasts and has run before, which may use the room
+	// that is left free for others, so that it is back in service soon.
 	back bool
 }
 
@@ -192,15 +192,14 @@
 // demandOf returns the demand of a task; patience is that of its group.
 func (p *Planner) demandOf(t *task, patience time.Duration) demand {
 	d := demand{service: t.group.job.queue.Service, kind: kindOf(t.group.step), lasts: t.group.step.LongRunning}
+	d.back = t.attempt > 0 && (d.lasts || d.kind == loadServing)
 	switch d.kind {
 	case loadScavenger:
 		waited := p.now.Sub(t.readyAt)
 		d.image = t.group.step.Image
 		d.patient, d.urgent = waited < patience, waited >= lastPatience
 		d.lone = t.group.job.runs == 0 && waited >= loneWait && p.hasMuchRoom(d.service)
-	case loadServing:
-		d.back = t.attempt > 0
-	case loadPlain:
+	case loadServing, loadPlain:
 	}
 	return d
 }
@@ -288,7 +287,7 @@
 	switch {
 	case !size.Fits(w.room()):
 		return obstacleRoom
-	case d.lasts && p.lacks.claim(t, w):
+	case d.lasts && !d.back && p.lacks.claim(t, w):
 		return obstacleLack
 	case step.Label != "" && !slices.Contains(w.entry.Labels, step.Label):
 		return obstacleLabel
--- a/internal/planner/shortage_test.go
+++ b/internal/planner/shortage_test.go
@@ -474,3 +474,29 @@
 		})
 	}
 }
+
+// TestLastingTaskThatRanIsBackSoon guards against a task that lasts and stays out of service,
+// since tasks that end wait for the room that it had.
+func TestLastingTaskThatRanIsBackSoon(t *testing.T) {
+	step := submitter.Step{Count: 1, Size: identifier.Size{Processors: 4000, Memory: 1000}, Estimate: 1000}
+	long := step
+	long.LongRunning = true
+	b := newBench(t, workerEntry("w"))
+	b.update(0)
+	b.look("w", connector.HoldAnswer{})
+	first := b.startOne(long)
+	b.confirm(first)
+	b.submit("00000000000000cc", step)
+	b.update(time.Millisecond)
+	b.update(time.Millisecond)
+	w := b.p.workers["w"]
+	b.p.setHolding(w, false)
+	w.nextHold = b.now
+	b.update(0)
+	b.end(first, 1, connector.EndLapsed)
+	b.save()
+	starts := b.starts()
+	if len(starts) != 1 || starts[0].Order.Run.Task.Job != first.Order.Run.Task.Job {
+		t.Fatalf("starts %v, want one of the job that lasts", starts)
+	}
+}
