One host counts the workers of a deployment that starts

A host now claims the count in the topic of the layout, by an append at its end; others wait for news, and take over a claim that was not renewed for 4 s. TestHostsOfOneSizeCountOnce: 300 hosts, one counts. TestHostThatDiedWhileItCountedIsReplaced.

--- a/internal/sharder/sharder.go
+++ b/internal/sharder/sharder.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,11 +20,19 @@
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
 
-// topicLayout holds one record, which the first host to write it decides.
+// topicLayout holds the layout, which the host that claimed to count the workers decides.
 const topicLayout connector.Topic = "layout"
 
 const (
 	keyCells = "cells"
+	// keyClaim is the key of the claim of the host that counts the workers, so that not all
+	// hosts read their list at the same time.
+	keyClaim = "claim"
+
+	// claimLife is for how long a claim holds that is not renewed, and claimRenewals how
+	// often it is renewed meanwhile.
+	claimLife     = 4 * time.Second
+	claimRenewals = 4
 
 	// WorkersPerCell is how many workers one host decides for: with 1,800 its processor
 	// bounds the starts a second (docs/CAPACITY.md).
@@ -68,6 +77,15 @@
 	count  func(context.Context) (Workers, error)
 	delay  time.Duration
 	logger *zap.Logger
+	// token tells this host's claims from those of others.
+	token string
+	seen  census
+	// claimedAt is when this host last claimed; rival is the last other claimant, at
+	// rivalAt, and known since rivalSince.
+	claimedAt  time.Time
+	rival      string
+	rivalAt    identifier.Offset
+	rivalSince time.Time
 }
 
 // Option changes a new sharder.
@@ -79,7 +97,7 @@
 
 // New returns a sharder; count tells how many workers there are now.
 func New(store connector.Store, count func(context.Context) (Workers, error), logger *zap.Logger, opts ...Option) *Sharder {
-	s := &Sharder{store: store, count: count, logger: logger}
+	s := &Sharder{store: store, count: count, logger: logger, token: rand.Text()}
 	for _, o := range opts {
 		o(s)
 	}
@@ -91,21 +109,25 @@
 func (s *Sharder) Agree(ctx context.Context) (int, error) {
 	source := logger.Dependency{Name: "layout of cells", Logger: s.logger}
 	waited := false
-	var seen census
 	for ctx.Err() == nil {
-		cells, err := s.find(ctx)
+		st, err := s.find(ctx)
 		switch {
 		case err != nil:
-		case cells > 0:
+		case st.cells > 0:
 			source.Report(nil)
-			s.logger.Info("layout in force", zap.Int("cells", cells))
-			return cells, nil
+			s.logger.Info("layout in force", zap.Int("cells", st.cells))
+			return st.cells, nil
 		case !waited:
 			waited = true
-			s.waitForOthers(ctx)
+			s.waitForNews(ctx, st.end, s.delay)
 			continue
+		case st.claimant == s.token:
+			err = s.propose(ctx, st.end)
+		case s.mayClaim(st):
+			err = s.claim(ctx, st.end)
 		default:
-			err = s.propose(ctx, &seen)
+			s.waitForNews(ctx, st.end, claimLife/claimRenewals)
+			continue
 		}
 		if errors.Is(err, connector.ErrConflict) {
 			err = nil
@@ -116,28 +138,64 @@
 	return 0, errors.Wrap(ctx.Err(), "agree on cells")
 }
 
-// waitForOthers returns when a layout is there, or after the delay.
-func (s *Sharder) waitForOthers(ctx context.Context) {
+// waitForNews returns when a record follows the end of the topic, or after a time.
+func (s *Sharder) waitForNews(ctx context.Context, end identifier.Offset, wait time.Duration) {
 	began := time.Now()
-	if _, err := s.store.Read(ctx, topicLayout, 0, 0, s.delay); err != nil {
-		sleeper.Pause(ctx, s.delay-time.Since(began))
+	if _, err := s.store.Read(ctx, topicLayout, 0, end, wait); err != nil {
+		sleeper.Pause(ctx, wait-time.Since(began))
 	}
 }
 
-// find returns the number of cells that is stored, or zero.
-func (s *Sharder) find(ctx context.Context) (int, error) {
+// status is what the topic of the layout holds.
+type status struct {
+	// cells is zero before the layout is stored.
+	cells int
+	// claimant is the host that counts the workers, by its newest claim; empty if none does.
+	claimant string
+	claimAt  identifier.Offset
+	end      identifier.Offset
+}
+
+// find returns what is stored.
+func (s *Sharder) find(ctx context.Context) (st status, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	records, _, err := connector.NewestAll(ctx, s.store, topicLayout, 0)
-	if err != nil {
-		return 0, err
-	}
+	records, end, err := connector.NewestAll(ctx, s.store, topicLayout, 0)
+	st.end = end
 	for _, r := range records {
-		if r.Key == keyCells {
-			return decode(r.Value)
+		switch r.Key {
+		case keyCells:
+			st.cells, err = decode(r.Value)
+		case keyClaim:
+			st.claimant, st.claimAt = string(r.Value), r.Offset
 		}
 	}
-	return 0, nil
+	return st, err
+}
+
+// mayClaim reports whether no other host counts the workers, or one that has not renewed
+// its claim.
+func (s *Sharder) mayClaim(st status) bool {
+	if st.claimant == "" {
+		return true
+	}
+	if st.claimant != s.rival || st.claimAt != s.rivalAt {
+		s.rival, s.rivalAt, s.rivalSince = st.claimant, st.claimAt, time.Now()
+	}
+	return time.Since(s.rivalSince) > claimLife
+}
+
+// claim makes this host the one that counts, unless another was faster.
+func (s *Sharder) claim(ctx context.Context, end identifier.Offset) error {
+	s.claimedAt = time.Now()
+	return s.append(ctx, end, connector.KeyedRecord{Key: keyClaim, Value: []byte(s.token)})
+}
+
+func (s *Sharder) append(ctx context.Context, end identifier.Offset, r connector.KeyedRecord) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err := s.store.Append(ctx, connector.KeyedAppend{Topic: topicLayout, At: &end, Records: []connector.KeyedRecord{r}})
+	return err
 }
 
 func decode(value []byte) (int, error) {
@@ -151,29 +209,31 @@
 	return l.Cells, nil
 }
 
-// propose stores a number of cells once it is certain enough, unless another host was first,
-// which the store tells by a conflict.
-func (s *Sharder) propose(ctx context.Context, seen *census) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	cells, err := s.decide(ctx, seen)
-	if cells == 0 || err != nil {
+// propose stores a number of cells once it is certain enough, and renews the claim until
+// then. The store tells by a conflict that another host has claimed meanwhile.
+func (s *Sharder) propose(ctx context.Context, end identifier.Offset) error {
+	cells, err := s.decide(ctx)
+	if err != nil {
 		return err
 	}
+	if cells == 0 {
+		if time.Since(s.claimedAt) < claimLife/claimRenewals {
+			return nil
+		}
+		return s.claim(ctx, end)
+	}
 	value, err := cbor.Marshal(layout{cells})
 	if err != nil {
 		return errors.Wrap(err, "encode layout")
 	}
-	_, err = s.store.Append(ctx, connector.KeyedAppend{
-		Topic: topicLayout, At: new(identifier.Offset),
-		Records: []connector.KeyedRecord{{Key: keyCells, Value: value}},
-	})
-	return err
+	return s.append(ctx, end, connector.KeyedRecord{Key: keyCells, Value: value})
 }
 
 // decide returns the number of cells for the workers that there are; zero while more of
 // them come. A release without a layout has one cell, of which there may be hosts still.
-func (s *Sharder) decide(ctx context.Context, seen *census) (int, error) {
+func (s *Sharder) decide(ctx context.Context) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	for _, topic := range []connector.Topic{intake.TopicInbox, dispatcher.TopicWork} {
 		page, err := s.store.Newest(ctx, topic, 0, "")
 		if err != nil {
@@ -184,7 +244,7 @@
 		}
 	}
 	workers, err := s.count(ctx)
-	if err != nil || !seen.settled(workers.All) {
+	if err != nil || !s.seen.settled(workers.All) {
 		return 0, err
 	}
 	cells := CellsFor(workers)
--- a/internal/sharder/sharder_test.go
+++ b/internal/sharder/sharder_test.go
@@ -218,3 +218,44 @@
 		}
 	})
 }
+
+// TestHostsOfOneSizeCountOnce guards against a deployment of hundreds of hosts that all read
+// the list of workers at once, more than the store serves.
+func TestHostsOfOneSizeCountOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := simulator.NewStore(1, 1)
+		var mu sync.Mutex
+		counted := map[int]bool{}
+		var wg sync.WaitGroup
+		for n := range 300 {
+			wg.Go(func() {
+				count := func(context.Context) (Workers, error) {
+					mu.Lock()
+					defer mu.Unlock()
+					counted[n] = true
+					return Workers{All: 3000, Fewest: 3000}, nil
+				}
+				if cells, err := New(store.Client("host"), count, zap.NewNop()).Agree(t.Context()); err != nil || cells != 4 {
+					t.Errorf("%d cells, %v", cells, err)
+				}
+			})
+		}
+		wg.Wait()
+		if len(counted) != 1 {
+			t.Errorf("%d hosts have counted, want one", len(counted))
+		}
+	})
+}
+
+// TestHostThatDiedWhileItCountedIsReplaced guards against a deployment that is never ready.
+func TestHostThatDiedWhileItCountedIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := simulator.NewStore(1, 1)
+		put(t, store, topicLayout, keyClaim, []byte("dead"))
+		began := time.Now()
+		cells, err := New(store.Client("a"), counting(1800), zap.NewNop()).Agree(t.Context())
+		if err != nil || cells != 2 || time.Since(began) > 2*claimLife {
+			t.Errorf("%d cells, %v, after %v", cells, err, time.Since(began))
+		}
+	})
+}
