A claim is told by its place; a switch with one case is a condition

Read once more: the claimant's name beside the offset of its claim said nothing that the offset does not, and demandOf had a switch whose other cases were empty. No behaviour changes.

--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -193,13 +193,11 @@
 func (p *Planner) demandOf(t *task, patience time.Duration) demand {
 	d := demand{service: t.group.job.queue.Service, kind: kindOf(t.group.step), lasts: t.group.step.LongRunning}
 	d.back = t.attempt > 0 && (d.lasts || d.kind == loadServing)
-	switch d.kind {
-	case loadScavenger:
+	if d.kind == loadScavenger {
 		waited := p.now.Sub(t.readyAt)
 		d.image = t.group.step.Image
 		d.patient, d.urgent = waited < patience, waited >= lastPatience
 		d.lone = t.group.job.runs == 0 && waited >= loneWait && p.hasMuchRoom(d.service)
-	case loadServing, loadPlain:
 	}
 	return d
 }
--- a/internal/sharder/sharder.go
+++ b/internal/sharder/sharder.go
@@ -80,10 +80,9 @@
 	// token tells this host's claims from those of others.
 	token string
 	seen  census
-	// claimedAt is when this host last claimed; rival is the last other claimant, at
-	// rivalAt, and known since rivalSince.
+	// claimedAt is when this host last claimed; the last claim of another host stands at
+	// rivalAt and is known since rivalSince.
 	claimedAt  time.Time
-	rival      string
 	rivalAt    identifier.Offset
 	rivalSince time.Time
 }
@@ -179,8 +178,8 @@
 	if st.claimant == "" {
 		return true
 	}
-	if st.claimant != s.rival || st.claimAt != s.rivalAt {
-		s.rival, s.rivalAt, s.rivalSince = st.claimant, st.claimAt, time.Now()
+	if s.rivalSince.IsZero() || st.claimAt != s.rivalAt {
+		s.rivalAt, s.rivalSince = st.claimAt, time.Now()
 	}
 	return time.Since(s.rivalSince) > claimLife
 }
