--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -17,9 +17,9 @@
 var cases = map[string]func(*deployment) (broken bool, err error){
 	"retired":  caseRetired,
 	"reborn":   caseReborn,
+	"clock":    caseClock,
 	"schedule": caseSchedule,
 	"uneven":   caseUneven,
-	"wide":     caseWide,
 }
 
 // longest bounds the time of a case.
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -96,6 +96,8 @@
 	groups map[string]*group
 	// refusing holds the topics to which appends are answered 503.
 	refusing map[string]bool
+	// onCondition, if set, is called once an append under a condition was answered with success.
+	onCondition func(topic string)
 	// refused and tooLarge count the appends that were answered 503 and 413, by topic.
 	refused, tooLarge map[string]int
 }
@@ -213,6 +215,12 @@
 	time.Sleep(storeAppendTime + time.Duration(float64(len(body))/storePartRate*float64(time.Second)))
 	status, out := p.append(list, q.Has("at"), number(r, "at"), q.Get("producer"), number(r, "epoch"), number(r, "seq"))
 	answer(w, status, out)
+	s.mu.Lock()
+	onCondition := s.onCondition
+	s.mu.Unlock()
+	if onCondition != nil && status == 200 && q.Has("at") {
+		onCondition(topic)
+	}
 }
 
 // splitRecords splits the body of an append; ok is false if a record is too long.
