--- a/internal/dispatcher/effect.go
+++ b/internal/dispatcher/effect.go
@@ -39,6 +39,8 @@
 		t.runInPool(func() { t.paceRun(ctx, c) }, c)
 	case planner.AskAdvice:
 		t.runInPool(func() { t.askAdviser(ctx, c) }, c)
+	case planner.DeleteSubmissions:
+		t.runInPool(func() { t.deleteSubmissions(ctx, c) }, c)
 	case planner.StepDown:
 		return errors.Mark(errors.Newf("step down: %s", c.Reason), ErrSuperseded)
 	}
@@ -77,6 +79,8 @@
 		t.Notify(planner.PaceAnswered{Worker: c.To.ID, Run: c.Run, Percent: c.Percent, Err: err})
 	case planner.AskAdvice:
 		t.Notify(planner.AdviceAnswered{Step: c.Step, Workers: c.Workers, Err: err})
+	case planner.DeleteSubmissions:
+		t.Notify(planner.SubmissionsDeleted{Jobs: c.Jobs, Err: err})
 	case planner.StepDown:
 	}
 }
--- a/internal/dispatcher/saver.go
+++ b/internal/dispatcher/saver.go
@@ -35,8 +35,7 @@
 	}
 }
 
-// saveBatch stores the planner's next batch and reports that to the planner. It deletes the
-// submissions of the retired jobs only after their records are deleted.
+// saveBatch stores the planner's next batch and reports that to the planner.
 func (t *Term) saveBatch(ctx context.Context) error {
 	t.mu.Lock()
 	batch := t.planner.TakeBatch()
@@ -60,7 +59,6 @@
 			t.confirmedTenure.Store(tenure)
 		}
 	}
-	t.deleteSubmissions(ctx, batch.Retired)
 	if ctx.Err() == nil {
 		t.Notify(planner.BatchSaved{Batch: batch})
 	}
@@ -87,8 +85,8 @@
 		}
 		records = append(records, connector.KeyedRecord{Key: keyEstimates, Value: value})
 	}
-	for _, r := range b.Retired {
-		records = append(records, connector.KeyedRecord{Key: keyJobPrefix + string(r.ID)})
+	for _, id := range b.Retired {
+		records = append(records, connector.KeyedRecord{Key: keyJobPrefix + string(id)})
 	}
 	records, err := appendLeaseRecords(records, b)
 	if err != nil {
@@ -159,22 +157,20 @@
 	t.logger.Info("leases are handed over", zap.Int("workers", len(batch.Leases)), logger.Err(err))
 }
 
-// deleteSubmissions deletes the inbox records of retired jobs. If that fails, the records remain
-// until the next holder reads them and retires the jobs again.
-func (t *Term) deleteSubmissions(ctx context.Context, retired []planner.Retired) {
+// deleteSubmissions deletes the inbox records of retired jobs and reports that to the planner, which
+// deletes their job records only then and repeats a deletion that failed.
+func (t *Term) deleteSubmissions(ctx context.Context, c planner.DeleteSubmissions) {
 	var records []connector.KeyedRecord
-	for _, r := range retired {
+	for _, r := range c.Jobs {
 		records = append(records, intake.Deletions(r.ID, r.Key)...)
 	}
-	if len(records) == 0 {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	_, err := t.store.Append(ctx, connector.KeyedAppend{Topic: intake.TopicInbox, Partition: connector.Partition(t.cell), Records: records})
 	if err != nil {
-		t.logger.Warn("submissions of retired jobs not deleted", zap.Int("jobs", len(retired)), logger.Err(err))
+		t.logger.Warn("submissions of retired jobs not deleted", zap.Int("jobs", len(c.Jobs)), logger.Err(err))
 	}
+	t.Notify(planner.SubmissionsDeleted{Jobs: c.Jobs, Err: err})
 }
 
 // handOverTimeout bounds the appends at the end of a term, since the next term waits for them.
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -367,10 +368,11 @@
 	return t.inboxOffset
 }
 
-// applyInbox passes records of the inbox to the planner; next is the offset after them. A record
-// that is applied again has no effect.
+// applyInbox passes records of the inbox to the planner; next is the offset after them. Records that
+// were passed before are left out: a job that was retired since then would be taken for a new one.
 func (t *Term) applyInbox(records []connector.KeyedRecord, next identifier.Offset) {
-	events := t.inboxEvents(records)
+	applied := t.nextInboxOffset()
+	events := t.inboxEvents(slices.DeleteFunc(records, func(r connector.KeyedRecord) bool { return r.Offset < applied }))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inboxOffset = max(t.inboxOffset, next)
--- a/internal/dispatcher/term_test.go
+++ b/internal/dispatcher/term_test.go
@@ -51,6 +51,8 @@
 	currentDirectory func() connector.Directory
 	// wrapRunner wraps the runner of each new holder.
 	wrapRunner func(connector.Runner) connector.Runner
+	// onDelete is called for each append of a holder that deletes records; nil carries them out.
+	onDelete atomic.Pointer[onDeleteFunc]
 	// retention is how long holders remember ended jobs.
 	retention time.Duration
 	stop      context.CancelFunc
@@ -165,7 +167,8 @@
 func (c *testCell) newTerm(h *testHolder, runner connector.Runner) *Term {
 	s := testSettings(h.name)
 	s.Planner.Retention = c.retention
-	return NewTerm(0, s, disconnectableStore{c.store.Client(h.name), &h.disconnected}, runner, zap.NewNop(),
+	store := deletionStore{disconnectableStore{c.store.Client(h.name), &h.disconnected}, &c.onDelete}
+	return NewTerm(0, s, store, runner, zap.NewNop(),
 		WithClockEstimate(func(context.Context) renewer.ClockReading { return c.clocks.Estimate(0, c.uptime()) }),
 		WithTenure(h.tenure.Load),
 		WithValidity(func() bool { return true }, func() time.Duration { return time.Since(time.Unix(0, h.lastSeen.Load())) }))
--- a/internal/planner/account_test.go
+++ b/internal/planner/account_test.go
@@ -101,7 +101,7 @@
 	b.p.round = saveRound{jobs: b.p.dirtyJobs, claims: b.p.newClaims, ends: b.p.newEnds}
 	b.p.dirtyJobs, b.p.newClaims = map[*job]struct{}{}, nil
 	delete(b.p.round.jobs, b.p.jobs["00000000000000aa"])
-	b.p.retiredAt = time.Time{}
+	b.p.retirements.searchedAt = time.Time{}
 	b.update(retentionMargin)
 	if _, known := b.p.jobs[old]; known {
 		t.Fatal("old job was not retired")
--- a/internal/planner/command.go
+++ b/internal/planner/command.go
@@ -38,13 +38,16 @@
 		Step    connector.StepID
 		Workers []identifier.Worker
 	}
+	// DeleteSubmissions deletes the stored submissions and cancellations of retired jobs.
+	DeleteSubmissions struct{ Jobs []Retired }
 	// StepDown gives up the cell, since another holder has taken over.
 	StepDown struct{ Reason string }
 )
 
-func (StartRun) command()   {}
-func (StopRun) command()    {}
-func (PollWorker) command() {}
-func (PaceRun) command()    {}
-func (AskAdvice) command()  {}
-func (StepDown) command()   {}
+func (StartRun) command()          {}
+func (StopRun) command()           {}
+func (PollWorker) command()        {}
+func (PaceRun) command()           {}
+func (AskAdvice) command()         {}
+func (DeleteSubmissions) command() {}
+func (StepDown) command()          {}
--- a/internal/planner/event.go
+++ b/internal/planner/event.go
@@ -79,20 +79,26 @@
 		Advice  connector.Advice
 		Err     error
 	}
+	// SubmissionsDeleted reports that a DeleteSubmissions was carried out, or its error.
+	SubmissionsDeleted struct {
+		Jobs []Retired
+		Err  error
+	}
 	// Ticked reports that time has passed.
 	Ticked struct{}
 )
 
-func (DirectoryChanged) event()  {}
-func (JobSubmitted) event()      {}
-func (JobCancelled) event()      {}
-func (JobsRestored) event()      {}
-func (HealthRestored) event()    {}
-func (EstimatesRestored) event() {}
-func (BatchSaved) event()        {}
-func (StartAnswered) event()     {}
-func (StopAnswered) event()      {}
-func (PollAnswered) event()      {}
-func (PaceAnswered) event()      {}
-func (AdviceAnswered) event()    {}
-func (Ticked) event()            {}
+func (DirectoryChanged) event()   {}
+func (JobSubmitted) event()       {}
+func (JobCancelled) event()       {}
+func (JobsRestored) event()       {}
+func (HealthRestored) event()     {}
+func (EstimatesRestored) event()  {}
+func (BatchSaved) event()         {}
+func (StartAnswered) event()      {}
+func (StopAnswered) event()       {}
+func (PollAnswered) event()       {}
+func (PaceAnswered) event()       {}
+func (AdviceAnswered) event()     {}
+func (SubmissionsDeleted) event() {}
+func (Ticked) event()             {}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -130,11 +130,9 @@
 	// dirtyJobs are the jobs to be stored in the next round, newClaims and newEnds what has to wait
 	// for it: claims to be started and ends to be acknowledged to their workers.
 	dirtyJobs map[*job]struct{}
-	// retired are the jobs whose records the next batch deletes, and retiredAt is when retire last
-	// searched for such jobs.
-	retired   []Retired
-	retiredAt time.Time
 	newClaims []*run
+	// retirements are the jobs whose stored records are to be deleted.
+	retirements retirements
 	// round is the set of changes being stored, in one batch or several.
 	round saveRound
 	// unsentClaims counts the claims whose starts are not sent. heldClaims are those of them that
@@ -278,6 +276,8 @@
 		p.paceAnswered(e)
 	case AdviceAnswered:
 		p.adviceAnswered(e)
+	case SubmissionsDeleted:
+		p.submissionsDeleted(e)
 	case Ticked:
 	}
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -517,12 +517,61 @@
 		t.Fatal("forgotten too early")
 	}
 	b.update(50 * time.Second)
+	if batch := b.p.TakeBatch(); len(batch.Retired) > 0 {
+		t.Fatal("job record deleted before the submission")
+	}
+	deletion, ok := findCommand[DeleteSubmissions](b.commands, func(DeleteSubmissions) bool { return true })
+	if !ok || len(deletion.Jobs) != 1 {
+		t.Fatalf("submissions %v are deleted, want one", deletion.Jobs)
+	}
+	b.update(0, SubmissionsDeleted{Jobs: deletion.Jobs})
 	batch := b.save()
 	if len(batch.Retired) != 1 {
 		t.Fatalf("retired %v, want one job", batch.Retired)
 	}
 }
 
+// TestDeletionOfSubmissionsIsRepeated guards against submissions that stay in the store since their
+// deletion is tried only once. The attempts become rarer, so that they do not load a store that is
+// in trouble.
+func TestDeletionOfSubmissionsIsRepeated(t *testing.T) {
+	const jobs, span = maxDeletions + 1, 30 * time.Second
+	b := newTestbed(t, workerEntry("w"))
+	for n := range jobs {
+		id := identifier.Job(fmt.Sprintf("%016x", n))
+		b.submit(id, submitter.Step{Count: 1, Size: smallSize})
+		b.update(0, JobCancelled{ID: id})
+	}
+	b.save()
+	b.update(80 * time.Second)
+	attempts := 0
+	deleted := map[identifier.Job]bool{}
+	// The first half of the span the store refuses every deletion.
+	for passed := time.Duration(0); passed < span; passed += maxUpdateInterval {
+		d, ok := findCommand[DeleteSubmissions](b.commands, func(DeleteSubmissions) bool { return true })
+		b.commands = nil
+		if !ok {
+			b.update(maxUpdateInterval)
+			continue
+		}
+		if passed < span/2 {
+			attempts++
+			b.update(maxUpdateInterval, SubmissionsDeleted{Jobs: d.Jobs, Err: connector.ErrBusy})
+			continue
+		}
+		b.update(maxUpdateInterval, SubmissionsDeleted{Jobs: d.Jobs})
+		for _, id := range b.p.TakeBatch().Retired {
+			deleted[id] = true
+		}
+	}
+	if attempts < 3 || attempts > 8 {
+		t.Errorf("%d attempts in %v, want 3 to 8", attempts, span/2)
+	}
+	if len(deleted) != jobs {
+		t.Errorf("records of %d jobs deleted, want %d", len(deleted), jobs)
+	}
+}
+
 func TestRecordsSurviveEncoding(t *testing.T) {
 	in := JobRecord{ID: "00000000000000aa", State: StateRunning, Accepted: 5, Queue: &queueConfig, Tasks: []TaskRecord{
 		{Step: 1, Index: 2, Attempt: 3, Failures: 1, Checkpoint: "c", Runs: []RunRecord{{Attempt: 3, Worker: "w"}}},
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -90,8 +90,8 @@
 	Records []JobRecord
 	// Estimates are the learned estimates; nil until they are due to be stored again.
 	Estimates []estimator.Record
-	// Retired are jobs whose records are to be deleted.
-	Retired []Retired
+	// Retired are jobs whose records are to be deleted. Their submissions are deleted already.
+	Retired []identifier.Job
 	// Leases are the changed leases of workers, and Clock is the cell's clock to be stored with
 	// them; nil if neither has changed.
 	Leases []renewer.Record
@@ -137,7 +137,7 @@
 
 // Dirty reports whether there is something to store.
 func (p *Planner) Dirty() bool {
-	return len(p.dirtyJobs) > 0 || p.round.pending() || len(p.retired) > 0 || len(p.newEnds) > 0 || p.leasesDirty() || len(p.healthRecords.changed) > 0
+	return len(p.dirtyJobs) > 0 || p.round.pending() || len(p.retirements.records) > 0 || len(p.newEnds) > 0 || p.leasesDirty() || len(p.healthRecords.changed) > 0
 }
 
 // leasesDirty reports whether changed leases have to be stored, or the cell's clock. The clock
@@ -183,8 +183,7 @@
 // BatchSaved event before it takes another batch.
 func (p *Planner) TakeBatch() Batch {
 	p.batchNumber++
-	b := Batch{Number: p.batchNumber, Retired: p.retired}
-	p.retired = nil
+	b := Batch{Number: p.batchNumber, Retired: p.retirements.takeRecords()}
 	p.collectLeases(&b)
 	p.collectHealthRecords(&b)
 	if p.now.Sub(p.estimatesSavedAt) >= estimatesSaveInterval {
@@ -322,7 +321,8 @@
 	for _, rec := range records {
 		j, ok := p.jobs[rec.ID]
 		if !ok {
-			p.retired = append(p.retired, Retired{ID: rec.ID})
+			// An earlier holder has deleted the submission.
+			p.retirements.submissions = append(p.retirements.submissions, Retired{ID: rec.ID})
 			continue
 		}
 		p.restoreJob(j, rec)
