--- a/internal/dispatcher/term_test.go
+++ b/internal/dispatcher/term_test.go
@@ -55,8 +55,10 @@
 	onDelete atomic.Pointer[onDeleteFunc]
 	// retention is how long holders remember ended jobs.
 	retention time.Duration
-	stop      context.CancelFunc
-	ctx       context.Context
+	// maxLease is the longest lease that workers grant; zero stands for testLease.
+	maxLease time.Duration
+	stop     context.CancelFunc
+	ctx      context.Context
 	// clocks are the readings of the cell's clock that the next holder has observed.
 	clocks    renewer.ClockTracker
 	startedAt time.Time
@@ -166,7 +168,7 @@
 
 func (c *testCell) newTerm(h *testHolder, runner connector.Runner) *Term {
 	s := testSettings(h.name)
-	s.Planner.Retention = c.retention
+	s.Planner.Retention, s.Planner.MaxLease = c.retention, c.maxLease
 	store := deletionStore{disconnectableStore{c.store.Client(h.name), &h.disconnected}, &c.onDelete}
 	return NewTerm(0, s, store, runner, zap.NewNop(),
 		WithClockEstimate(func(context.Context) renewer.ClockReading { return c.clocks.Estimate(0, c.uptime()) }),
--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -73,12 +73,12 @@
 	}
 	p.enterWindow(r)
 	r.startTries++
-	r.startSentAt = p.now
+	r.startSentAt, r.leaseUntil = p.now, p.leaseUntil(w)
 	p.counts.starts++
 	ticket, _, _ := p.permitted(r.task.group, w)
 	p.emit(StartRun{To: w.target(), Order: connector.RunOrder{
 		Run: r.id, Spec: r.task.group.job.def.Spec, Epoch: r.epoch,
-		LeaseUntil: p.leaseUntil(w), Checkpoint: r.task.checkpoint, Ticket: ticket,
+		LeaseUntil: r.leaseUntil, Checkpoint: r.task.checkpoint, Ticket: ticket,
 	}})
 }
 
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -86,17 +86,23 @@
 
 // leaseRenewal returns up to when a poll extends the lease of a worker, by the worker's clock; nil
 // if it does not. While the permission to renew the lease is not stored yet, the lease is extended
-// only up to the end that later holders wait for anyway. If that is not possible either, or after
-// maxRenewMisses missed polls, the end requested before is sent again: the worker may not have
-// received it, and its runs are waited for until then.
+// only up to the end that later holders wait for anyway. If that is not possible either, the end
+// requested before is sent again: the worker may not have received it, and its runs are waited for
+// until then. After a missed poll the worker may have restarted, and would take a time of its former
+// clock for the longest lease. Its next answer tells; until then the lease is only reserved.
 func (p *Planner) leaseRenewal(w *worker) *connector.WorkerClock {
 	switch {
 	case w.clockAt.IsZero() || !w.synced:
 		return nil
-	case w.missedPolls < maxRenewMisses && p.mayRenew(w):
+	case w.missedPolls > 0:
+		if w.missedPolls < maxRenewMisses && p.mayRenew(w) {
+			p.reserveLease(w)
+		}
+		return nil
+	case p.mayRenew(w):
 		until := p.leaseUntil(w)
 		return &until
-	case w.missedPolls < maxRenewMisses && p.now.Before(p.leases.RenewableUntil(w.id, p.now)):
+	case p.now.Before(p.leases.RenewableUntil(w.id, p.now)):
 		return p.leaseRenewalWithin(w, p.leases.RenewableUntil(w.id, p.now))
 	case w.requestedLease > w.clock+connector.WorkerClock(p.now.Sub(w.clockAt)):
 		until := w.requestedLease
@@ -203,6 +209,7 @@
 	w.recordAnswer(p.now, e.Answer.Clock)
 	if e.Order.LeaseUntil != nil {
 		w.recordRenewal(e.Answer.OrderAnswer, p.now)
+		p.recordGrant(w, *e.Order.LeaseUntil, e.Answer.Clock)
 	}
 	w.synced = true
 	if w.incarnation != e.Answer.StartedAt {
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -34,6 +34,7 @@
 	switch e.Answer.Verdict {
 	case connector.VerdictOK, connector.VerdictStaleRun:
 		w.recordRenewal(e.Answer, p.now)
+		p.recordGrant(w, r.leaseUntil, e.Answer.Clock)
 		// VerdictStaleRun means that the run has ended already. It counts as active until the next
 		// poll reports how it ended.
 		p.markActive(r)
@@ -48,6 +49,9 @@
 		p.log.StartRefused(r.id, w.id, e.Answer.Verdict)
 		p.ticketRefused(r)
 	default:
+		if e.Answer.Verdict == connector.VerdictNoRoom {
+			p.recordGrant(w, r.leaseUntil, e.Answer.Clock)
+		}
 		p.log.StartRefused(r.id, w.id, e.Answer.Verdict)
 		p.startRefused(r)
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -47,8 +47,9 @@
 	startTries int
 	// maybeDelivered is set once a start may have reached the worker.
 	maybeDelivered bool
-	// startSentAt is when the last start was sent.
+	// startSentAt is when the last start was sent, and leaseUntil the lease end that it asked for.
 	startSentAt time.Time
+	leaseUntil  connector.WorkerClock
 	// unsent is set while the run counts towards Planner.unsentClaims, startInFlight while its
 	// start occupies a slot in the window of orders in flight.
 	unsent, startInFlight bool
@@ -104,7 +105,7 @@
 	leaseEnd time.Time
 	// renewalSentAt is when an order that renews the lease was last sent.
 	renewalSentAt time.Time
-	// requestedLease is the latest lease end requested so far, by the worker's clock.
+	// requestedLease is the latest lease end requested or reserved so far, by the worker's clock.
 	requestedLease connector.WorkerClock
 	// renewedAt is when an order that renews the lease was last answered, and renewedThrough the
 	// host that made the call.
@@ -214,14 +215,21 @@
 }
 
 // leaseUntil returns the time, by the worker's clock, up to which an order sent now extends the
-// lease. It moves leaseEnd accordingly, allowing for a worker clock that runs slow.
+// lease, and moves leaseEnd accordingly.
 func (p *Planner) leaseUntil(w *worker) connector.WorkerClock {
+	w.renewalSentAt = p.now
+	return p.reserveLease(w)
+}
+
+// reserveLease moves leaseEnd to the end of a lease that begins now, allowing for a worker clock that
+// runs slow, and returns that end by the worker's clock.
+func (p *Planner) reserveLease(w *worker) connector.WorkerClock {
 	until := w.clock + connector.WorkerClock(p.now.Sub(w.clockAt)+p.settings.Lease)
 	span := time.Duration(float64(time.Duration(until-w.clock)) / (1 - maxClockDrift))
 	if end := w.clockAt.Add(span); end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
-	w.renewalSentAt, w.requestedLease = p.now, max(w.requestedLease, until)
+	w.requestedLease = max(w.requestedLease, until)
 	return until
 }
 
@@ -236,6 +244,24 @@
 	p.leases.RecordExtension(w.id, w.leaseEnd)
 }
 
+// recordGrant extends leaseEnd by the lease that a worker may have granted for an order that asked
+// for one up to until. clock is the worker's clock as it answered. If the order was computed by the
+// clock of an earlier incarnation, the lease may be the longest that a worker grants.
+func (p *Planner) recordGrant(w *worker, until, clock connector.WorkerClock) {
+	granted := p.settings.MaxLease
+	if clock > 0 {
+		granted = min(granted, time.Duration(until-clock))
+	}
+	if granted <= 0 {
+		return
+	}
+	w.leaseEnd = later(w.leaseEnd, p.now.Add(time.Duration(float64(granted)/(1-maxClockDrift))))
+	if float64(granted) > float64(p.settings.Lease)/(1-maxClockDrift) {
+		p.log.WorkerChanged(w.id, "granted a longer lease than it was to be asked for")
+		p.leases.RecordExtension(w.id, w.leaseEnd)
+	}
+}
+
 // recordRenewal records the answer to an order that renews the lease.
 func (w *worker) recordRenewal(a connector.OrderAnswer, now time.Time) {
 	w.renewedAt, w.renewedThrough = now, a.Via
--- a/internal/simulator/fleet.go
+++ b/internal/simulator/fleet.go
@@ -539,7 +539,7 @@
 		f.renew(w, *o.LeaseUntil)
 	}
 	f.acknowledge(w, o.Forget)
-	runEnded, nothingEnded := w.runEnded, len(w.endedRuns) == 0
+	runEnded, nothingEnded, bootedAt := w.runEnded, len(w.endedRuns) == 0, w.bootedAt
 	f.unlock()
 	if nothingEnded && o.Wait > 0 {
 		t := time.NewTimer(o.Wait)
@@ -552,7 +552,8 @@
 		}
 	}
 	f.lock()
-	cut := !w.up || w.faults.Cut || late > 0
+	// A call that a worker holds back ends with that incarnation of the worker.
+	cut := !w.up || !w.bootedAt.Equal(bootedAt) || w.faults.Cut || late > 0
 	out, delay := w.holdAnswer(), f.answerDelay(w)
 	f.unlock()
 	if cut {
