Ends of a former lifetime acknowledge none of the next one

A batch that was stored after its worker had restarted acknowledged ends by number alone. If the new lifetime had listed ends with these numbers by then, it was told to forget them before they were stored: a takeover at that moment would have run their tasks again.

Ends are now stored together with the lifetime that listed them. TestEndsOfAnEarlierIncarnationAcknowledgeNothing failed before ('ends up to 3 of the new incarnation count as stored, want none').

--- a/internal/planner/end.go
+++ b/internal/planner/end.go
@@ -15,7 +15,7 @@
 	}
 	w.lastEnd = max(w.lastEnd, e.Number)
 	w.unsavedEnds = true
-	p.newEnds[w] = w.lastEnd
+	p.newEnds[w] = endMark{w.incarnation, w.lastEnd}
 	if r := w.runs[e.Run]; r != nil {
 		p.handleRunEnd(r, e)
 		return
--- a/internal/planner/life_test.go
+++ b/internal/planner/life_test.go
@@ -93,3 +93,28 @@
 		})
 	}
 }
+
+// TestEndsOfAnEarlierIncarnationAcknowledgeNothing guards against ends that are lost: a batch that is
+// stored after its worker has restarted must not acknowledge ends of the new incarnation, which
+// have the same numbers and are not stored yet.
+func TestEndsOfAnEarlierIncarnationAcknowledgeNothing(t *testing.T) {
+	b := newTestbed(t, workerEntry("w"))
+	b.update(0)
+	b.answerPoll("w", connector.HoldAnswer{StartedAt: 1})
+	unknown := func(number identifier.EndNumber) []connector.EndedRun {
+		return []connector.EndedRun{{Number: number, Run: connector.RunID{Task: identifier.JobTask{Job: "00000000000000bb"}, Attempt: 1}, Reason: connector.EndDone}}
+	}
+	b.answerNewPoll("w", connector.HoldAnswer{StartedAt: 1, Ended: unknown(3)})
+	batch := b.p.TakeBatch()
+	b.p.workers["w"].nextPoll = b.now
+	b.update(unsavedPause)
+	b.answerNewPoll("w", connector.HoldAnswer{StartedAt: 2, Ended: unknown(3)})
+	b.update(0, BatchSaved{batch})
+	if n := b.p.workers["w"].storedEnd; n != 0 {
+		t.Fatalf("ends up to %d of the new incarnation count as stored, want none", n)
+	}
+	b.save()
+	if n := b.p.workers["w"].storedEnd; n != 3 {
+		t.Fatalf("ends up to %d count as stored, want 3", n)
+	}
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -139,7 +139,7 @@
 	// are stored and wait for a fresh directory, the window of orders or a renewable lease.
 	unsentClaims int
 	heldClaims   []*run
-	newEnds      map[*worker]identifier.EndNumber
+	newEnds      map[*worker]endMark
 	batchNumber  uint64
 	commands     []Command
 }
@@ -180,7 +180,7 @@
 		unpolled:      map[*worker]struct{}{},
 		suspects:      map[*worker]struct{}{},
 		dirtyJobs:     map[*job]struct{}{},
-		newEnds:       map[*worker]identifier.EndNumber{},
+		newEnds:       map[*worker]endMark{},
 		estimator:     estimator.New(),
 		scratchLoad:   estimator.Load{},
 		healthRecords: newHealthRecords(),
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -99,10 +99,16 @@
 	// Healths are the changed health records of workers. Their times refer to Clock.
 	Healths []HealthRecord
 
-	// claims are the runs to start once the batch is stored, and ends the highest number of the
-	// ended runs that each worker may then forget.
+	// claims are the runs to start once the batch is stored, and ends the last of the ended runs that
+	// each worker may then forget.
 	claims []*run
-	ends   map[*worker]identifier.EndNumber
+	ends   map[*worker]endMark
+}
+
+// endMark is the highest number of the ended runs that an incarnation of a worker has listed.
+type endMark struct {
+	incarnation identifier.UnixMillis
+	number      identifier.EndNumber
 }
 
 // estimatesSaveInterval is the least time between two writes of the learned estimates.
@@ -125,7 +131,7 @@
 type saveRound struct {
 	jobs   map[*job]struct{}
 	claims []*run
-	ends   map[*worker]identifier.EndNumber
+	ends   map[*worker]endMark
 }
 
 // pending reports whether the round still has something to store, or claims and ends that wait for
@@ -192,7 +198,7 @@
 	}
 	if !p.round.pending() {
 		p.round = saveRound{p.dirtyJobs, p.newClaims, p.newEnds}
-		p.dirtyJobs, p.newClaims, p.newEnds = map[*job]struct{}{}, nil, map[*worker]identifier.EndNumber{}
+		p.dirtyJobs, p.newClaims, p.newEnds = map[*job]struct{}{}, nil, map[*worker]endMark{}
 	}
 	tasks := 0
 	for j := range p.round.jobs {
@@ -225,11 +231,10 @@
 			j.visibleState = r.State
 		}
 	}
-	for w, n := range b.ends {
-		w.storedEnd = max(w.storedEnd, n)
-		if w.lastEnd < n {
-			// The worker has restarted since then and numbers its ends from one again.
-			w.storedEnd = 0
+	for w, last := range b.ends {
+		// A worker that has restarted since then numbers its ends from one again.
+		if w.incarnation == last.incarnation {
+			w.storedEnd = max(w.storedEnd, last.number)
 		}
 		if !p.endsUnsaved(w) {
 			w.unsavedEnds = false
