--- a/internal/dispatcher/health_test.go
+++ b/internal/dispatcher/health_test.go
@@ -28,6 +28,7 @@
 	"three crashes":   {3, crashHolder},
 	"a shutdown":      {1, stopHolder},
 	"three shutdowns": {3, stopHolder},
+	"ended takeovers": {1, endTakeovers(3)},
 }
 
 // newTwoWorkerCell returns a cell of two workers, the long-running job that fills one of them, and
--- a/internal/dispatcher/retire_test.go
+++ b/internal/dispatcher/retire_test.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"context"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -21,25 +20,17 @@
 // onDeleteFunc is called in place of an append that deletes records of a topic; do carries it out.
 type onDeleteFunc func(topic connector.Topic, do func() (identifier.Offset, error)) (identifier.Offset, error)
 
-// deletionStore intercepts the appends that delete records.
-type deletionStore struct {
-	connector.Store
-	onDelete *atomic.Pointer[onDeleteFunc]
-}
-
-// Append implements connector.Store.
-func (s deletionStore) Append(ctx context.Context, a connector.KeyedAppend) (identifier.Offset, error) {
-	do := func() (identifier.Offset, error) { return s.Store.Append(ctx, a) }
+// interceptDeletions sets the function that is called for each append that deletes records.
+func (c *testCell) interceptDeletions(f onDeleteFunc) {
 	isDeletion := func(r connector.KeyedRecord) bool { return len(r.Value) == 0 }
-	if f := s.onDelete.Load(); f != nil && slices.ContainsFunc(a.Records, isDeletion) {
-		return (*f)(a.Topic, do)
-	}
-	return do()
+	c.interceptAppends(func(_ *testHolder, a connector.KeyedAppend, do func() (identifier.Offset, error)) (identifier.Offset, error) {
+		if !slices.ContainsFunc(a.Records, isDeletion) {
+			return do()
+		}
+		return f(a.Topic, do)
+	})
 }
 
-// interceptDeletions sets the function that is called for each append that deletes records.
-func (c *testCell) interceptDeletions(f onDeleteFunc) { c.onDelete.Store(&f) }
-
 const (
 	// retireRetention is how long the holders of these tests remember ended jobs.
 	retireRetention = 5 * time.Second
--- a/internal/dispatcher/silence_test.go
+++ b/internal/dispatcher/silence_test.go
@@ -55,8 +55,30 @@
 	c.takeOver()
 }
 
+// endTakeovers returns a change of the holder in which the given number of hosts crash just after
+// they have stored that they take the cell over, one takeoverGap after the other.
+func endTakeovers(n int) holderChange {
+	return func(c *testCell) {
+		c.holder.Load().kill()
+		c.interceptAppends(func(h *testHolder, a connector.KeyedAppend, do func() (identifier.Offset, error)) (identifier.Offset, error) {
+			end, err := do()
+			if a.ExpectedEnd != nil && a.Topic == TopicWork {
+				h.kill()
+			}
+			return end, err
+		})
+		for range n {
+			time.Sleep(takeoverGap)
+			c.takeOver()
+		}
+		time.Sleep(takeoverGap)
+		c.onAppend.Store(nil)
+		c.takeOver()
+	}
+}
+
 // TestTakeoversDoNotDelayRestarts guards against a wait for a lost worker's lease that starts again
-// with each new holder: however often the cell is taken over, the same bound holds for the time
+// with each new holder, also with one that ends in its takeover: however often the cell is taken over, the same bound holds for the time
 // from the loss of a worker to the restart of its tasks.
 func TestTakeoversDoNotDelayRestarts(t *testing.T) {
 	losses := map[string]workerLoss{"silent": silenceWorker, "gone": removeWorker, "replaced": replaceWorker}
@@ -66,11 +88,15 @@
 		// within bounds the time from the loss of the worker to the restart.
 		within time.Duration
 	}{
-		"no takeover":     {0, nil, testLease * 51 / 50},
-		"a crash":         {1, crashHolder, detectionTime + takeoverGap + testGrace + testLease*51/50},
-		"three crashes":   {3, crashHolder, detectionTime + takeoverGap + testGrace + testLease*51/50},
-		"a shutdown":      {1, stopHolder, testLease * 51 / 50},
-		"three shutdowns": {3, stopHolder, testLease * 51 / 50},
+		"no takeover":             {0, nil, testLease * 51 / 50},
+		"a crash":                 {1, crashHolder, detectionTime + takeoverGap + testGrace + testLease*51/50},
+		"three crashes":           {3, crashHolder, detectionTime + takeoverGap + testGrace + testLease*51/50},
+		"a shutdown":              {1, stopHolder, testLease * 51 / 50},
+		"three shutdowns":         {3, stopHolder, testLease * 51 / 50},
+		"an ended takeover":       {1, endTakeovers(1), detectionTime + takeoverGap + testGrace + testLease*51/50},
+		"three ended takeovers":   {1, endTakeovers(3), detectionTime + takeoverGap + testGrace + testLease*51/50},
+		"six ended takeovers":     {1, endTakeovers(6), detectionTime + takeoverGap + testGrace + testLease*51/50},
+		"ended takeovers, thrice": {3, endTakeovers(1), detectionTime + takeoverGap + testGrace + testLease*51/50},
 	}
 	for name, tt := range tests {
 		for loss, lose := range losses {
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"strings"
 	"time"
 
@@ -43,6 +44,9 @@
 	// Terms are the most recent terms, including this one. It is empty in records of releases
 	// that did not store terms.
 	Terms []renewer.Term `cbor:"3,keyasint,omitempty"`
+	// Takeover is the attempt by which this term began. It is empty in records of releases that did
+	// not store it.
+	Takeover renewer.TakeoverID `cbor:"4,keyasint,omitempty"`
 }
 
 // takeOver begins the term: it fences off earlier holders, reads the cell's state and restores a
@@ -59,7 +63,7 @@
 	}
 	now := time.Now()
 	epoch := t.writer.Epoch
-	opts := []planner.Option{planner.WithLeases(leases, t.uptime), planner.WithProfile(profiler.NewTimer(&t.stats.profile))}
+	opts := []planner.Option{planner.WithLeases(leases, t.uptime, t.startClock.Load().uptime), planner.WithProfile(profiler.NewTimer(&t.stats.profile))}
 	if t.decisions != nil {
 		opts = append(opts, planner.WithLog(t.decisions))
 	}
@@ -70,7 +74,6 @@
 	t.mu.Lock()
 	t.planner, t.inboxOffset = p, next
 	t.mu.Unlock()
-	t.startClock.Store(&cellClock{renewer.ClockReading{Epoch: epoch, Clock: p.CellClock()}, t.uptime()})
 	t.logger.Info("term begins", zap.Uint64("epoch", uint64(epoch)), zap.Int("jobs", p.Stats().Jobs),
 		zap.Int("runs", p.Stats().Runs), zap.Duration("cellClock", time.Duration(p.CellClock())), zap.Duration("took", time.Since(began)))
 	return nil
@@ -84,6 +87,12 @@
 		records, leases, err := t.tryFence(ctx)
 		store.Report(err)
 		if err == nil {
+			startedAt, ok := t.attempts[leases.Takeover]
+			if !ok {
+				startedAt = t.uptime()
+			}
+			last := leases.Terms[len(leases.Terms)-1]
+			t.startClock.Store(&cellClock{renewer.ClockReading{Epoch: last.Epoch, Clock: last.Start}, startedAt})
 			return records, leases, nil
 		}
 		sleeper.Pause(ctx, retryPause)
@@ -91,11 +100,17 @@
 	return nil, renewer.State{}, errors.Wrap(ctx.Err(), "take over")
 }
 
-// tryFence makes one attempt of fence. While it reads the state, the cell's clock is estimated,
-// which may take calls of other hosts.
+// tryFence makes one attempt of fence. While it reads the state, the cell's clock is estimated and
+// other hosts are told of the attempt, which may take calls of them. The term starts with the
+// attempt if the cell was assigned to this host from then on: the previous holder renews leases for
+// the renewal grace after that at most. Otherwise the term starts once it is stored.
 func (t *Term) tryFence(ctx context.Context) ([]connector.KeyedRecord, renewer.State, error) {
-	estimate := make(chan renewer.ClockReading, 1)
-	go func() { estimate <- t.estimateClock(ctx) }()
+	takeover := renewer.TakeoverID(rand.Text())
+	began := t.uptime()
+	assigned, tenure := t.valid(), t.tenure()
+	t.attempts[takeover] = began
+	estimate := make(chan renewer.ClockEstimate, 1)
+	go func() { estimate <- t.estimateClock(ctx, takeover, began) }()
 	records, end, err := t.readNewest(ctx, TopicWork)
 	if err != nil {
 		return nil, renewer.State{}, err
@@ -110,13 +125,17 @@
 		return records, leases, nil
 	}
 	epoch := holder.Epoch + 1
-	leases = leases.BeginTerm(epoch, <-estimate)
-	value, err := cbor.Marshal(holderRecord{epoch, t.settings.Member, leases.Terms})
+	estimated := <-estimate
+	if !assigned || !t.valid() || t.tenure() != tenure {
+		takeover = ""
+	}
+	leases = leases.BeginTerm(epoch, takeover, estimated)
+	value, err := cbor.Marshal(holderRecord{epoch, t.settings.Member, leases.Terms, leases.Takeover})
 	if err != nil {
 		return nil, renewer.State{}, errors.Wrap(err, "encode holder")
 	}
 	t.writer = connector.WriterID{Name: writerName, Epoch: epoch}
-	tenure := t.tenure()
+	tenure = t.tenure()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	_, err = t.store.Append(ctx, connector.KeyedAppend{
@@ -133,7 +152,7 @@
 // decodeLeases decodes the lease state that earlier holders stored. A lease that cannot be decoded
 // is logged and treated as unknown.
 func (t *Term) decodeLeases(holder holderRecord, records []connector.KeyedRecord) renewer.State {
-	s := renewer.State{Terms: holder.Terms, Leases: map[identifier.Worker]renewer.Lease{}}
+	s := renewer.State{Terms: holder.Terms, Takeover: holder.Takeover, Leases: map[identifier.Worker]renewer.Lease{}}
 	for _, r := range records {
 		id, isLease := strings.CutPrefix(r.Key, keyLeasePrefix)
 		var err error
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/planner"
+	"github.com/balsamcove/balsamcove/internal/simulator"
 )
 
 // slowLinkStore is a store whose newest records arrive over a link of limited bandwidth.
@@ -124,3 +125,46 @@
 	}
 	return len(value)
 }
+
+// TestClockStartsWithTheTakeoverWhileTheCellIsAssigned guards against a clock of the cell that is
+// ahead: a term may start with its takeover only if the cell was assigned to this host all the
+// while, since the previous holder may otherwise renew leases for longer. It then starts once it is
+// stored.
+func TestClockStartsWithTheTakeoverWhileTheCellIsAssigned(t *testing.T) {
+	const latency = 500 * time.Millisecond
+	tests := map[string]struct {
+		valid  func(calls int64) bool
+		tenure func(calls int64) uint64
+		want   time.Duration
+	}{
+		// The takeover makes three calls: it reads the state, stores the term and reads the inbox.
+		"assigned":        {func(int64) bool { return true }, func(int64) uint64 { return 1 }, 3 * latency},
+		"not assigned":    {func(int64) bool { return false }, func(int64) uint64 { return 1 }, latency},
+		"not any more":    {func(calls int64) bool { return calls == 1 }, func(int64) uint64 { return 1 }, latency},
+		"assigned again":  {func(int64) bool { return true }, func(calls int64) uint64 { return uint64(calls) }, latency},
+		"not at first":    {func(calls int64) bool { return calls > 1 }, func(int64) uint64 { return 1 }, latency},
+		"tenure is known": {func(int64) bool { return true }, func(int64) uint64 { return 7 }, 3 * latency},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTestCell(t, 1)
+				defer c.stop()
+				c.store.SetFaults(simulator.StoreFaults{Slow: latency})
+				runner, disconnect := c.fleet.Client()
+				defer disconnect()
+				var validCalls, tenureCalls atomic.Int64
+				term := NewTerm(0, testSettings("host"), c.store.Client("host"), runner, zap.NewNop(),
+					WithValidity(func() bool { return tt.valid(validCalls.Add(1)) }, func() time.Duration { return 0 }),
+					WithTenure(func() uint64 { return tt.tenure(tenureCalls.Add(1)) }))
+				if err := term.takeOver(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				r, ok := term.CellClock()
+				if got := time.Duration(r.Clock); !ok || got < tt.want || got > tt.want+latency/2 {
+					t.Errorf("the cell's clock shows %v after the takeover, want %v", got, tt.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -80,7 +80,7 @@
 	valid          func() bool
 	sinceStoreSeen func() time.Duration
 	onEventWait    func(time.Duration)
-	estimateClock  func(context.Context) renewer.ClockReading
+	estimateClock  func(context.Context, renewer.TakeoverID, time.Duration) renewer.ClockEstimate
 	tenure         func() uint64
 	unpaused       func() bool
 	uptime         func() time.Duration
@@ -94,8 +94,10 @@
 	renewalWithheld atomic.Bool
 	// confirmedTenure is the tenure, see WithTenure, at the last successful append of this term.
 	confirmedTenure atomic.Uint64
-	// startClock is the cell's clock at the start of the term; nil before the takeover.
+	// startClock is the cell's clock at the start of the term; nil before the takeover is stored.
 	startClock atomic.Pointer[cellClock]
+	// attempts are the uptimes at which the attempts of this term to take the cell over began.
+	attempts map[renewer.TakeoverID]time.Duration
 
 	// mu guards the planner, which is nil before the takeover, and inboxOffset, from which the
 	// inbox is to be read next.
@@ -122,9 +124,10 @@
 // events, with the time for which the oldest of them has waited.
 func WithEventWaitRecorder(f func(time.Duration)) Option { return func(t *Term) { t.onEventWait = f } }
 
-// WithClockEstimate sets a function that returns a lower bound of the cell's clock by what this
-// host or others have observed. It is called as the term begins.
-func WithClockEstimate(estimate func(context.Context) renewer.ClockReading) Option {
+// WithClockEstimate sets a function that tells other hosts of an attempt to take the cell over, which
+// began at an uptime of this host. It returns a lower bound, for that time, of the cell's clock and
+// of the ages of earlier takeovers, by what this host and others have observed.
+func WithClockEstimate(estimate func(ctx context.Context, takeover renewer.TakeoverID, began time.Duration) renewer.ClockEstimate) Option {
 	return func(t *Term) { t.estimateClock = estimate }
 }
 
@@ -157,10 +160,12 @@
 		adviser: noAdviser{},
 		logger:  logger.With(zap.Int("cell", int(cell))),
 		valid:   func() bool { return true }, sinceStoreSeen: func() time.Duration { return 0 },
-		onEventWait: func(time.Duration) {}, estimateClock: func(context.Context) renewer.ClockReading { return renewer.ClockReading{} },
+		onEventWait: func(time.Duration) {}, estimateClock: func(context.Context, renewer.TakeoverID, time.Duration) renewer.ClockEstimate {
+			return renewer.ClockEstimate{}
+		},
 		tenure: func() uint64 { return 0 }, unpaused: func() bool { return true },
-		uptime:  func() time.Duration { return time.Since(created) },
-		events:  newEventQueue(),
+		uptime: func() time.Duration { return time.Since(created) },
+		events: newEventQueue(), attempts: map[renewer.TakeoverID]time.Duration{},
 		saveDue: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
@@ -201,7 +206,7 @@
 }
 
 // CellClock returns the current reading of the cell's clock, for other hosts to observe; ok is
-// false before the cell is taken over. It never waits for a pass of the planner.
+// false before the takeover is stored. It never waits for a pass of the planner.
 func (t *Term) CellClock() (r renewer.ClockReading, ok bool) {
 	c := t.startClock.Load()
 	if c == nil {
--- a/internal/dispatcher/term_test.go
+++ b/internal/dispatcher/term_test.go
@@ -51,8 +51,8 @@
 	currentDirectory func() connector.Directory
 	// wrapRunner wraps the runner of each new holder.
 	wrapRunner func(connector.Runner) connector.Runner
-	// onDelete is called for each append of a holder that deletes records; nil carries them out.
-	onDelete atomic.Pointer[onDeleteFunc]
+	// onAppend is called for each append of a holder; nil carries them out.
+	onAppend atomic.Pointer[onAppendFunc]
 	// retention is how long holders remember ended jobs.
 	retention time.Duration
 	// maxLease is the longest lease that workers grant; zero stands for testLease.
@@ -93,6 +93,28 @@
 	return s.Store.Append(ctx, a)
 }
 
+// onAppendFunc is called in place of an append of a holder; do carries it out.
+type onAppendFunc func(h *testHolder, a connector.KeyedAppend, do func() (identifier.Offset, error)) (identifier.Offset, error)
+
+// interceptedStore is the store of a holder whose appends a test may intercept.
+type interceptedStore struct {
+	connector.Store
+	cell   *testCell
+	holder *testHolder
+}
+
+// Append implements connector.Store.
+func (s interceptedStore) Append(ctx context.Context, a connector.KeyedAppend) (identifier.Offset, error) {
+	do := func() (identifier.Offset, error) { return s.Store.Append(ctx, a) }
+	if f := s.cell.onAppend.Load(); f != nil {
+		return (*f)(s.holder, a, do)
+	}
+	return do()
+}
+
+// interceptAppends sets the function that is called for each append of a holder.
+func (c *testCell) interceptAppends(f onAppendFunc) { c.onAppend.Store(&f) }
+
 // testWorkers is the number of workers of most tests.
 const testWorkers = 6
 
@@ -169,9 +191,12 @@
 func (c *testCell) newTerm(h *testHolder, runner connector.Runner) *Term {
 	s := testSettings(h.name)
 	s.Planner.Retention, s.Planner.MaxLease = c.retention, c.maxLease
-	store := deletionStore{disconnectableStore{c.store.Client(h.name), &h.disconnected}, &c.onDelete}
+	store := interceptedStore{disconnectableStore{c.store.Client(h.name), &h.disconnected}, c, h}
 	return NewTerm(0, s, store, runner, zap.NewNop(),
-		WithClockEstimate(func(context.Context) renewer.ClockReading { return c.clocks.Estimate(0, c.uptime()) }),
+		WithClockEstimate(func(_ context.Context, id renewer.TakeoverID, _ time.Duration) renewer.ClockEstimate {
+			defer c.clocks.ObserveTakeover(0, id, c.uptime())
+			return c.clocks.Estimate(0, c.uptime())
+		}), WithUptime(c.uptime),
 		WithTenure(h.tenure.Load),
 		WithValidity(func() bool { return true }, func() time.Duration { return time.Since(time.Unix(0, h.lastSeen.Load())) }))
 }
--- a/internal/planner/health_test.go
+++ b/internal/planner/health_test.go
@@ -198,10 +198,10 @@
 // replaceHolder replaces the planner by that of the next holder, which gets the jobs and the given
 // events.
 func (b *testbed) replaceHolder(events ...Event) {
-	state := renewer.State{Clock: b.p.CellClock()}.BeginTerm(b.p.epoch+1, renewer.ClockReading{})
+	state := renewer.State{Clock: b.p.CellClock()}.BeginTerm(b.p.epoch+1, "", renewer.ClockEstimate{})
 	before := b.p
 	began := b.now
-	b.p = New(before.epoch+1, b.now, before.settings, WithLeases(state, func() time.Duration { return b.now.Sub(began) }))
+	b.p = New(before.epoch+1, b.now, before.settings, WithLeases(state, func() time.Duration { return b.now.Sub(began) }, 0))
 	for _, j := range before.jobs {
 		events = append(events, JobSubmitted{Job: j.def, Queue: j.queue}, JobsRestored{[]JobRecord{recordOf(j)}})
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -153,11 +153,11 @@
 // WithTimeOfDay sets the wall clock for scheduled jobs; the default is time.Now.
 func WithTimeOfDay(now func() time.Time) Option { return func(p *Planner) { p.wallClock = now } }
 
-// WithLeases sets the lease state stored by earlier holders, with this term as the last. By default
-// all leases count as renewed until the term began. uptime has to include the time for which the
-// machine was suspended.
-func WithLeases(s renewer.State, uptime func() time.Duration) Option {
-	return func(p *Planner) { p.leases = renewer.New(p.now, uptime, p.settings.InheritedLease, s) }
+// WithLeases sets the lease state stored by earlier holders, with this term as the last, which
+// started at startUptime. By default all leases count as renewed until the term began. uptime has
+// to include the time for which the machine was suspended.
+func WithLeases(s renewer.State, uptime func() time.Duration, startUptime time.Duration) Option {
+	return func(p *Planner) { p.leases = renewer.New(p.now, uptime, startUptime, p.settings.InheritedLease, s) }
 }
 
 // WithProfile sets the timer that measures each phase of the planner's work.
@@ -197,7 +197,7 @@
 	}
 	if p.leases == nil {
 		passed := func() time.Duration { return p.now.Sub(now) }
-		p.leases = renewer.New(now, passed, s.InheritedLease, renewer.State{}.BeginTerm(epoch, renewer.ClockReading{}))
+		p.leases = renewer.New(now, passed, 0, s.InheritedLease, renewer.State{}.BeginTerm(epoch, "", renewer.ClockEstimate{}))
 	}
 	return p
 }
--- a/internal/renewer/renewer.go
+++ b/internal/renewer/renewer.go
@@ -2,14 +2,17 @@
 // holders of the cell. It does no I/O; callers pass in the time and store the records.
 //
 // Lease expiries are stored as times of the cell's clock, which all holders share. A new holder
-// continues it from the last stored value, or from a later reading that its host has observed,
-// so the clock may lag behind real time but never runs ahead of it. A holder renews a worker's
+// continues it from the last stored value, from a later reading that a host has observed, or by the
+// age of the last takeover, of which hosts hear before it is stored. So the clock may lag behind
+// real time but never runs ahead of it. A holder renews a worker's
 // lease only after storing a record that marks the lease as renewable. When it stops renewing,
 // it stores the time at which the lease expires. A takeover therefore does not restart the wait
 // for the lease of a lost worker.
 package renewer
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -53,9 +56,11 @@
 // State is the lease state that earlier holders stored.
 type State struct {
 	// Terms are the most recent terms, oldest first, at most maxTerms.
-	Terms  []Term
-	Clock  Time
-	Leases map[identifier.Worker]Lease
+	Terms []Term
+	// Takeover is the takeover by which the last of these terms began; empty if that is not known.
+	Takeover TakeoverID
+	Clock    Time
+	Leases   map[identifier.Worker]Lease
 }
 
 func (s State) lastTerm() Term {
@@ -71,14 +76,60 @@
 	Clock Time             `json:"clock"`
 }
 
-// BeginTerm returns the state with a new term added; the caller has to store it before passing
-// it to New. The estimate of the cell's clock is used only if it comes from the last holder: the
+// TakeoverID identifies an attempt of a host to take a cell over.
+type TakeoverID string
+
+// ClockEstimate is what hosts know of a cell's clock when a takeover begins.
+type ClockEstimate struct {
+	ClockReading
+	// Takeovers are recent attempts to take the cell over, with a lower bound of the time passed
+	// since each of them began.
+	Takeovers map[TakeoverID]time.Duration `json:"takeovers,omitempty"`
+}
+
+// Merge returns the estimate with what another one adds to it.
+func (e ClockEstimate) Merge(other ClockEstimate) ClockEstimate {
+	if cmp.Or(cmp.Compare(other.Epoch, e.Epoch), cmp.Compare(other.Clock, e.Clock)) > 0 {
+		e.ClockReading = other.ClockReading
+	}
+	takeovers := maps.Clone(e.Takeovers)
+	for id, age := range other.Takeovers {
+		if takeovers == nil {
+			takeovers = map[TakeoverID]time.Duration{}
+		}
+		takeovers[id] = max(takeovers[id], age)
+	}
+	e.Takeovers = takeovers
+	return e
+}
+
+// Before returns the estimate as it was some time ago.
+func (e ClockEstimate) Before(ago time.Duration) ClockEstimate {
+	e.Clock = max(e.Clock-Time(ago), 0)
+	takeovers := make(map[TakeoverID]time.Duration, len(e.Takeovers))
+	for id, age := range e.Takeovers {
+		takeovers[id] = max(age-ago, 0)
+	}
+	e.Takeovers = takeovers
+	return e
+}
+
+// BeginTerm returns the state with a new term added, which begins with a takeover; the caller has to
+// store it before passing it to New. The term starts when the takeover began, and so does the
+// estimate. A reading of the cell's clock is used only if it comes from the last holder: the
 // clock of an older one may have been ahead of the clock by which the last holder stored leases.
-func (s State) BeginTerm(epoch identifier.Epoch, estimate ClockReading) State {
-	start := s.Clock
-	if len(s.Terms) > 0 && estimate.Epoch == s.lastTerm().Epoch {
+// The clock never goes back behind the start of the last term, whose holder may have ended before
+// it stored or told a reading.
+func (s State) BeginTerm(epoch identifier.Epoch, takeover TakeoverID, estimate ClockEstimate) State {
+	last := s.lastTerm()
+	start := max(s.Clock, last.Start)
+	if len(s.Terms) > 0 && estimate.Epoch == last.Epoch {
 		start = max(start, estimate.Clock)
 	}
+	if age, ok := estimate.Takeovers[s.Takeover]; ok && s.Takeover != "" {
+		start = max(start, last.Start+Time(age))
+	}
+	s.Takeover = takeover
 	s.Terms = append(slices.Clone(s.Terms), Term{Epoch: epoch, Start: start})
 	s.Terms = s.Terms[max(len(s.Terms)-maxTerms, 0):]
 	return s
@@ -146,13 +197,14 @@
 // host has observed the clock, each takeover adds up to this lag to the wait for a lost worker.
 const clockSaveInterval = 500 * time.Millisecond
 
-// New returns a Renewer for the last term of the stored state. maxInherited is how long after
-// the start of a term leases that the previous holder renewed may last. The cell's clock advances
-// with uptime, which has to include the time for which the machine was suspended.
-func New(now time.Time, uptime func() time.Duration, maxInherited time.Duration, stored State) *Renewer {
+// New returns a Renewer for the last term of the stored state, which started at startUptime.
+// maxInherited is how long after the start of a term leases that the previous holder renewed may
+// last. The cell's clock advances with uptime, which has to include the time for which the machine
+// was suspended.
+func New(now time.Time, uptime func() time.Duration, startUptime, maxInherited time.Duration, stored State) *Renewer {
 	term := stored.lastTerm()
 	r := &Renewer{
-		epoch: term.Epoch, uptime: uptime, startUptime: uptime(), startClock: term.Start, maxInherited: maxInherited, terms: stored.Terms, previous: stored.Leases,
+		epoch: term.Epoch, uptime: uptime, startUptime: startUptime, startClock: term.Start, maxInherited: maxInherited, terms: stored.Terms, previous: stored.Leases,
 		leases: map[identifier.Worker]*lease{}, changed: map[identifier.Worker]struct{}{}, clockTakenAt: now,
 	}
 	for id := range stored.Leases {
--- a/internal/renewer/renewer_test.go
+++ b/internal/renewer/renewer_test.go
@@ -1,6 +1,7 @@
 package renewer
 
 import (
+	"fmt"
 	"maps"
 	"testing"
 	"time"
@@ -49,17 +50,33 @@
 func (c *testCell) uptime() time.Duration { return c.now.Sub(testStart) + c.suspended }
 
 // takeOver begins the term of a new holder, whose host has observed the cell's clock or not.
-func (c *testCell) takeOver(clockObserved bool) {
-	var r ClockReading
+func (c *testCell) takeOver(clockObserved bool) { c.takeOverIn(clockObserved, 0) }
+
+// takeOverIn is takeOver by a host that takes a while to store the new term.
+func (c *testCell) takeOverIn(clockObserved bool, took time.Duration) {
+	startUptime := c.fence(clockObserved, took)
+	c.holder = New(c.now, c.uptime, startUptime, maxInheritedLease, c.stored)
+	c.knownExpiry = c.holder.InheritedExpiry(worker, c.now)
+}
+
+// fence stores a new term, took after the takeover has begun, and returns the uptime of that
+// beginning. The new holder may end right after that.
+func (c *testCell) fence(clockObserved bool, took time.Duration) (startUptime time.Duration) {
+	var estimate ClockEstimate
 	if clockObserved {
-		r = c.clocks.Estimate(0, c.uptime())
+		estimate = c.clocks.Estimate(0, c.uptime())
 	}
-	c.previous, c.previousEnds = c.holder, c.now.Add(testGrace)
+	if c.holder != nil {
+		c.previous, c.previousEnds = c.holder, c.now.Add(testGrace)
+	}
+	c.holder = nil
 	c.epoch++
 	c.unconfirmed = nil
-	c.stored = c.stored.BeginTerm(c.epoch, r)
-	c.holder = New(c.now, c.uptime, maxInheritedLease, c.stored)
-	c.knownExpiry = c.holder.InheritedExpiry(worker, c.now)
+	id, startUptime := TakeoverID(fmt.Sprint(c.epoch)), c.uptime()
+	c.clocks.ObserveTakeover(0, id, startUptime)
+	c.now = c.now.Add(took)
+	c.stored = c.stored.BeginTerm(c.epoch, id, estimate)
+	return startUptime
 }
 
 // renew makes a holder renew the worker's lease as far as it is allowed to.
@@ -144,7 +161,15 @@
 				c.clocks.Observe(0, ClockReading{c.epoch, c.holder.Clock()}, c.uptime())
 			},
 			"cell is taken over": func(t *rapid.T) {
-				c.takeOver(rapid.Bool().Draw(t, "clock observed"))
+				took := time.Duration(rapid.IntRange(0, 4000).Draw(t, "took, ms")) * time.Millisecond
+				c.takeOverIn(rapid.Bool().Draw(t, "clock observed"), took)
+				heardInTerm = false
+			},
+			"holder ends in its takeover": func(t *rapid.T) {
+				took := time.Duration(rapid.IntRange(0, 4000).Draw(t, "took, ms")) * time.Millisecond
+				c.fence(rapid.Bool().Draw(t, "clock observed"), took)
+				c.now = c.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "gap, ms")) * time.Millisecond)
+				c.takeOver(rapid.Bool().Draw(t, "next clock observed"))
 				heardInTerm = false
 			},
 			"": func(t *rapid.T) {
@@ -206,12 +231,53 @@
 	}
 }
 
+// TestEndedTakeoversDoNotProlongTheWait guards against a wait for the lease of a lost worker that
+// begins again with each holder that ends in its takeover, and against a clock that goes back to its
+// last stored reading, which may be a day old.
+func TestEndedTakeoversDoNotProlongTheWait(t *testing.T) {
+	const quiet, gap = 24 * time.Hour, 2 * time.Second
+	tests := map[string]struct {
+		ended int
+		// remembered is set if another host has heard of the takeovers.
+		remembered bool
+		// want is the wait from the first takeover on.
+		want time.Duration
+	}{
+		"one, remembered":     {1, true, maxInheritedLease},
+		"three, remembered":   {3, true, maxInheritedLease},
+		"one, not remembered": {1, false, gap + maxInheritedLease},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCell()
+			c.holder.Resume(worker)
+			c.storeBatch()
+			c.confirmBatch()
+			c.now = c.now.Add(quiet)
+			c.renew(c.holder)
+			c.clocks.Observe(0, ClockReading{c.epoch, c.holder.Clock()}, c.uptime())
+			first := c.now
+			for range tt.ended {
+				c.fence(true, 0)
+				if !tt.remembered {
+					c.clocks = ClockTracker{}
+				}
+				c.now = c.now.Add(gap)
+			}
+			c.takeOver(true)
+			if got := c.holder.InheritedExpiry(worker, c.now).Sub(first); got != tt.want {
+				t.Errorf("wait for the worker's lease is %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestClockReadingsOfOlderEpochsAreIgnored guards against a term that starts from the clock of a
 // holder before the last one. That clock may be ahead of the one by which later leases were
 // stored, so that they would seem to expire too early.
 func TestClockReadingsOfOlderEpochsAreIgnored(t *testing.T) {
-	s := State{Clock: Time(time.Second)}.BeginTerm(7, ClockReading{})
-	s = s.BeginTerm(8, ClockReading{Epoch: 6, Clock: Time(time.Minute)})
+	s := State{Clock: Time(time.Second)}.BeginTerm(7, "", ClockEstimate{})
+	s = s.BeginTerm(8, "", ClockEstimate{ClockReading: ClockReading{Epoch: 6, Clock: Time(time.Minute)}})
 	if got := s.lastTerm().Start; got != Time(time.Second) {
 		t.Errorf("term starts at %v on the cell's clock, want 1s", time.Duration(got))
 	}
@@ -223,8 +289,8 @@
 func TestLeaseRecordsOlderThanTheTermHistoryAreIgnored(t *testing.T) {
 	stored := State{Clock: Time(time.Hour), Leases: map[identifier.Worker]Lease{worker: {Epoch: 3, Expires: Time(time.Minute)}}}
 	for _, epoch := range []identifier.Epoch{5, 6} {
-		stored = stored.BeginTerm(epoch, ClockReading{})
-		if got := New(testStart, func() time.Duration { return 0 }, maxInheritedLease, stored).InheritedExpiry(worker, testStart).Sub(testStart); got != maxInheritedLease {
+		stored = stored.BeginTerm(epoch, "", ClockEstimate{})
+		if got := New(testStart, func() time.Duration { return 0 }, 0, maxInheritedLease, stored).InheritedExpiry(worker, testStart).Sub(testStart); got != maxInheritedLease {
 			t.Errorf("epoch %d: wait for the lease is %v, want %v", epoch, got, maxInheritedLease)
 		}
 	}
--- a/internal/renewer/witness_test.go
+++ b/internal/renewer/witness_test.go
@@ -37,7 +37,7 @@
 	c.storeBatch()
 	// The times as seen by machines that were not suspended.
 	now, expiry := c.now.Add(c.suspended), c.actualExpiry.Add(c.suspended)
-	next := New(now, c.uptime, maxInheritedLease, c.stored.BeginTerm(c.epoch+1, c.clocks.Estimate(0, c.uptime())))
+	next := New(now, c.uptime, c.uptime(), maxInheritedLease, c.stored.BeginTerm(c.epoch+1, "", c.clocks.Estimate(0, c.uptime())))
 	if end := next.InheritedExpiry(worker, now); end.Before(expiry) {
 		t.Errorf("lease expires %v later than its holder expects", expiry.Sub(end))
 	}
--- a/internal/supervisor/clock.go
+++ b/internal/supervisor/clock.go
@@ -1,7 +1,6 @@
 package supervisor
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"time"
@@ -42,42 +41,46 @@
 }
 
 // estimateClock returns the latest estimate of a cell's clock, of this host or of the peers that
-// answer in time. This host alone may not know it, since it may have only just started.
-func (s *Supervisor) estimateClock(ctx context.Context, cell identifier.Cell) renewer.ClockReading {
+// answer in time, and tells them of an attempt to take the cell over. This host alone may not know
+// the clock, since it may have only just started. The estimate is one for the uptime of this host
+// at which the attempt began.
+func (s *Supervisor) estimateClock(ctx context.Context, cell identifier.Cell, takeover renewer.TakeoverID, began time.Duration) renewer.ClockEstimate {
 	ctx, cancel := context.WithTimeout(ctx, clockTimeout)
 	defer cancel()
 	peers := s.locator.Peers()
 	peers = peers[max(len(peers)-clockPeers, 0):]
-	answers := make(chan renewer.ClockReading, len(peers))
+	answers := make(chan renewer.ClockEstimate, len(peers))
 	for _, peer := range peers {
 		go func() {
-			var r renewer.ClockReading
-			if err := s.rpc.Call(ctx, peer, messenger.MethodCellClock, clockRequest{cell}, &r); err != nil {
-				r = renewer.ClockReading{}
+			var e renewer.ClockEstimate
+			if err := s.rpc.Call(ctx, peer, messenger.MethodCellClock, clockRequest{cell, takeover}, &e); err != nil {
+				e = renewer.ClockEstimate{}
 			}
-			answers <- r
+			answers <- e.Before(uptimer.SinceBoot() - began)
 		}()
 	}
-	newest := s.clockTracker.Estimate(cell, uptimer.SinceBoot())
+	estimate := s.clockTracker.Estimate(cell, began)
+	s.clockTracker.ObserveTakeover(cell, takeover, began)
 	for range peers {
-		if r := <-answers; cmp.Or(cmp.Compare(r.Epoch, newest.Epoch), cmp.Compare(r.Clock, newest.Clock)) > 0 {
-			newest = r
-		}
+		estimate = estimate.Merge(<-answers)
 	}
-	return newest
+	return estimate
 }
 
-// clockRequest asks another host for its estimate of a cell's clock.
+// clockRequest asks another host for its estimate of a cell's clock, and tells it of an attempt to
+// take the cell over.
 type clockRequest struct {
-	Cell identifier.Cell `json:"cell"`
+	Cell     identifier.Cell    `json:"cell"`
+	Takeover renewer.TakeoverID `json:"takeover,omitempty"`
 }
 
-// handleClock answers a clockRequest with a renewer.ClockReading. A malformed request is refused
+// handleClock answers a clockRequest with a renewer.ClockEstimate. A malformed request is refused
 // with refuser.CodeInvalid.
 func (s *Supervisor) handleClock(params json.RawMessage) (any, error) {
 	var in clockRequest
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, refuser.New(refuser.CodeInvalid, "%v", err)
 	}
+	s.clockTracker.ObserveTakeover(in.Cell, in.Takeover, uptimer.SinceBoot())
 	return s.clockTracker.Estimate(in.Cell, uptimer.SinceBoot()), nil
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -301,7 +301,9 @@
 	opts := []dispatcher.Option{
 		dispatcher.WithLog(s.plannerLog), dispatcher.WithValidity(s.elector.Valid, s.elector.SinceRenewal),
 		dispatcher.WithTenure(s.elector.Tenure), dispatcher.WithPauseCheck(s.elector.RecentlyActive), dispatcher.WithUptime(uptimer.SinceBoot),
-		dispatcher.WithClockEstimate(func(ctx context.Context) renewer.ClockReading { return s.estimateClock(ctx, cell) }),
+		dispatcher.WithClockEstimate(func(ctx context.Context, takeover renewer.TakeoverID, began time.Duration) renewer.ClockEstimate {
+			return s.estimateClock(ctx, cell, takeover, began)
+		}),
 	}
 	if s.adviser != nil {
 		opts = append(opts, dispatcher.WithAdviser(s.adviser))
