--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -52,6 +52,9 @@
 	p.dropUnsentClaim(r)
 	p.leaveWindow(r)
 	t := r.task
+	if r.evicted {
+		t.evictions++
+	}
 	for i, other := range t.runs {
 		if other == r {
 			t.runs = append(t.runs[:i], t.runs[i+1:]...)
--- a/internal/planner/end.go
+++ b/internal/planner/end.go
@@ -60,11 +60,15 @@
 		if !r.inherited {
 			t.group.recordDuration(p.now.Sub(r.startedAt))
 		}
+		p.delayRestart(r)
 		p.taskSucceeded(t)
 		return
 	case connector.EndFailed:
-		p.recordFailure(w)
+		if t.restarts == 0 {
+			p.blame(w, t)
+		}
 		p.taskFailed(t, w)
+		p.delayRestart(r)
 	case connector.EndStopped, connector.EndLeaseExpired, connector.EndGangBroken, connector.EndGangIncomplete:
 	}
 	p.requeue(t)
@@ -123,6 +127,45 @@
 	}
 }
 
+const (
+	// shortRun is how long a run of a long-running task lasts at most to count as a failed restart.
+	shortRun = 10 * time.Second
+	// maxRestartDelay bounds the delay of the next run of a task that keeps ending soon after its
+	// start or whose starts are refused.
+	maxRestartDelay = 2 * time.Second
+)
+
+// delayRestart delays the next run of a long-running task that has just ended. The delay doubles with
+// each short run in a row.
+func (p *Planner) delayRestart(r *run) {
+	t := r.task
+	if !t.group.step.LongRunning {
+		return
+	}
+	if r.inherited || p.now.Sub(r.startedAt) > shortRun {
+		t.restarts = 0
+		return
+	}
+	t.notBefore = p.now.Add(backoff(t.restarts))
+	t.restarts++
+}
+
+// backoff returns the delay of the next run of a task after the given number of earlier failures in a
+// row.
+func backoff(failures int) time.Duration {
+	return min(failureDelay<<min(failures, 16), maxRestartDelay)
+}
+
+// blame counts a failed, refused or too slow run of a task against its worker, unless the task has
+// failed on another worker before: the task is more likely the cause then.
+func (p *Planner) blame(w *worker, t *task) {
+	if t.blamedOn != "" && t.blamedOn != w.id {
+		return
+	}
+	t.blamedOn = w.id
+	p.recordFailure(w)
+}
+
 // recordFailure counts a failed run against its worker, and marks the worker's health to be stored.
 func (p *Planner) recordFailure(w *worker) {
 	w.addFailure(p.now)
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -56,9 +56,17 @@
 	// failedOn is the worker on which the last run failed, straggled or could not be started. The
 	// next run prefers another.
 	failedOn identifier.Worker
+	// blamedOn is the worker against which failures of the task were counted; empty before the first.
+	blamedOn identifier.Worker
 	// notBefore delays the next run after a failed run or a start that could not be sent.
 	notBefore time.Time
-	readyAt   time.Time
+	// evictions counts the runs that have ended after they were stopped for too little progress. It
+	// is zero again once a long-running task is in service.
+	evictions int
+	// restarts counts the runs of a long-running task in a row that ended soon after their start,
+	// refusals the starts in a row that workers refused.
+	restarts, refusals int
+	readyAt            time.Time
 	// downSince is since when a long-running task is known not to run; zero before its first run
 	// and while it runs.
 	downSince time.Time
@@ -81,6 +89,8 @@
 	advice   adviceState
 	// waitLogged is when it was last logged that tasks of the step are waiting.
 	waitLogged time.Time
+	// blamed are the workers that were blamed for a straggler of the step.
+	blamed map[identifier.Worker]struct{}
 	// failedGangRuns counts the failed runs of all members of a gang.
 	failedGangRuns int
 }
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -53,13 +53,14 @@
 			p.recordGrant(w, r.leaseUntil, e.Answer.Clock)
 		}
 		p.log.StartRefused(r.id, w.id, e.Answer.Verdict)
-		p.startRefused(r)
+		p.startRefused(r, e.Answer.Verdict)
 	}
 }
 
 // markActive records that a worker has confirmed a run.
 func (p *Planner) markActive(r *run) {
 	r.phase, r.confirmedAt = runActive, p.now
+	r.task.refusals = 0
 	if !r.stalled {
 		r.progressAt = p.now
 	}
@@ -137,14 +138,22 @@
 
 // startRefused drops a run whose start the worker refused, unless an earlier start of the run may
 // have been carried out.
-func (p *Planner) startRefused(r *run) {
+func (p *Planner) startRefused(r *run, verdict connector.OrderVerdict) {
 	if r.startTries > 1 {
 		p.markUnsure(r)
 		return
 	}
-	p.recordFailure(r.worker)
+	t := r.task
+	if verdict == connector.VerdictUnhealthy || t.refusals == 0 {
+		p.blame(r.worker, t)
+	}
+	t.failedOn = r.worker.id
+	if t.refusals > 0 {
+		t.notBefore = p.now.Add(backoff(t.refusals))
+	}
+	t.refusals++
 	p.removeRun(r)
-	p.requeue(r.task)
+	p.requeue(t)
 }
 
 // stepDown gives up the cell after a worker has refused the current epoch of its orders, since only
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -575,13 +576,13 @@
 func TestRecordsSurviveEncoding(t *testing.T) {
 	in := JobRecord{ID: "00000000000000aa", State: StateRunning, Accepted: 5, Queue: &queueConfig, Tasks: []TaskRecord{
 		{Step: 1, Index: 2, Attempt: 3, Failures: 1, Checkpoint: "c", Runs: []RunRecord{{Attempt: 3, Worker: "w"}}},
-	}}
+	}, Evictions: []EvictionRecord{{Occurrence: 1, Step: 2, Index: 3, Count: 4}}}
 	data, err := in.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
 	out, err := DecodeJobRecord(data)
-	if err != nil || fmt.Sprintf("%+v", out.Tasks) != fmt.Sprintf("%+v", in.Tasks) || *out.Queue != *in.Queue {
+	if err != nil || fmt.Sprintf("%+v", out.Tasks) != fmt.Sprintf("%+v", in.Tasks) || !slices.Equal(out.Evictions, in.Evictions) || *out.Queue != *in.Queue {
 		t.Fatalf("%+v, %v; want %+v", out, err, in)
 	}
 	if _, err := DecodeJobRecord([]byte("no record")); !errors.Is(err, ErrMalformedJobRecord) {
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -29,6 +29,17 @@
 	Queue *connector.QueueConfig `cbor:"6,keyasint,omitempty"`
 	// Lost are the runs that were given up without a known outcome.
 	Lost []LostRecord `cbor:"7,keyasint,omitempty"`
+	// Evictions count how often tasks were stopped because they made too little progress.
+	Evictions []EvictionRecord `cbor:"8,keyasint,omitempty"`
+}
+
+// EvictionRecord is how often a task was stopped because it made too little progress.
+type EvictionRecord struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Index      int
+	Count      int
 }
 
 // LostRecord names the runs of a task that were given up without a known outcome. Their workers may
@@ -45,6 +56,9 @@
 // store accepts.
 const maxLost = submitter.MaxTasks
 
+// maxEvicted bounds the evicted tasks in the record of a job.
+const maxEvicted = submitter.MaxTasks
+
 // TaskRecord is the stored state of a task that has had at least one run.
 type TaskRecord struct {
 	_          struct{} `cbor:",toarray"`
@@ -269,10 +283,26 @@
 	}
 	if !j.state.Ended() {
 		r.Lost = lostRunsOf(j)
+		r.Evictions = evictionsOf(j)
 	}
 	return r
 }
 
+// evictionsOf returns the evictions of a job's tasks that are not done, of at most maxEvicted tasks.
+func evictionsOf(j *job) []EvictionRecord {
+	var out []EvictionRecord
+	for k, groups := range j.occurrences {
+		for _, g := range groups {
+			for i := range g.tasks {
+				if t := &g.tasks[i]; t.evictions > 0 && t.phase != taskDone && len(out) < maxEvicted {
+					out = append(out, EvictionRecord{Occurrence: k, Step: g.index, Index: i, Count: t.evictions})
+				}
+			}
+		}
+	}
+	return out
+}
+
 // lostRunsOf returns the lost runs of a job whose outcome would still count, at most maxLost.
 func lostRunsOf(j *job) []LostRecord {
 	var out []LostRecord
@@ -357,6 +387,11 @@
 	for _, l := range rec.Lost {
 		p.restoreLost(j, l)
 	}
+	for _, e := range rec.Evictions {
+		if t := p.lookupTask(identifier.JobTask{Job: j.def.ID, Occurrence: e.Occurrence, Step: e.Step, Index: e.Index}); t != nil {
+			t.evictions = max(e.Count, 0)
+		}
+	}
 	switch {
 	case rec.State.Ended():
 		// A cancellation that was read later does not change how the job ended.
--- a/internal/planner/straggler_test.go
+++ b/internal/planner/straggler_test.go
@@ -60,3 +60,41 @@
 		t.Errorf("%d failures are counted against the worker, want 0", w.failures)
 	}
 }
+
+// TestEvictionsCountAcrossTakeovers guards against a task without progress that is stopped and
+// started again for ever, because each holder counts its evictions from zero.
+func TestEvictionsCountAcrossTakeovers(t *testing.T) {
+	b := newTestbed(t, workerEntry("w"))
+	b.update(0)
+	b.answerNewPoll("w", connector.HoldAnswer{StartedAt: 1})
+	number := identifier.EndNumber(0)
+	s := b.startOne(submitter.Step{Count: 1, Size: smallSize})
+	for round := range 4 {
+		b.confirmStart(s)
+		active := connector.HoldAnswer{StartedAt: 1, Active: []connector.ActiveRun{{Run: s.Order.Run}}}
+		b.answerNewPoll("w", active)
+		b.update(stallTimeout<<round - 10*time.Millisecond)
+		b.answerNewPoll("w", active)
+		if _, stopped := findCommand[StopRun](b.commands, func(StopRun) bool { return true }); stopped {
+			t.Fatalf("run %d was stopped within %v", round+1, stallTimeout<<round)
+		}
+		b.update(50 * time.Millisecond)
+		b.answerNewPoll("w", active)
+		if _, stopped := findCommand[StopRun](b.commands, func(StopRun) bool { return true }); !stopped {
+			t.Fatalf("run %d was not stopped after %v", round+1, stallTimeout<<round)
+		}
+		number++
+		b.answerNewPoll("w", connector.HoldAnswer{StartedAt: 1, Ended: []connector.EndedRun{{Number: number, Run: s.Order.Run, Reason: connector.EndStopped}}})
+		b.p.workers["w"].quarantinedUntil = time.Time{}
+		b.replaceHolder()
+		number = 0
+		b.update(0)
+		b.answerNewPoll("w", connector.HoldAnswer{StartedAt: identifier.UnixMillis(round + 2)})
+		b.save()
+		starts := b.starts()
+		if len(starts) != 1 {
+			t.Fatalf("%d starts after the takeover, want one", len(starts))
+		}
+		s = starts[0]
+	}
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -67,6 +67,8 @@
 	percent  int
 	// progressAt is when percent last changed.
 	progressAt time.Time
+	// evicted is set once the run is stopped because it made too little progress.
+	evicted bool
 	// stalled is set while the run is recorded as stalled in the stored health of its worker.
 	stalled bool
 	// pace is the share of its processors, in percent, that the run may use.
