--- a/internal/dispatcher/saver.go
+++ b/internal/dispatcher/saver.go
@@ -1,7 +1,9 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -10,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/estimator"
 	"github.com/balsamcove/balsamcove/internal/intake"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/planner"
@@ -51,13 +54,13 @@
 	if err != nil {
 		return err
 	}
-	if len(records) > 0 {
-		if err := t.append(ctx, records); err != nil {
+	for _, part := range splitAppend(records) {
+		if err := t.append(ctx, part); err != nil {
 			return err
 		}
-		if ctx.Err() == nil {
-			t.confirmedTenure.Store(tenure)
-		}
+	}
+	if len(records) > 0 && ctx.Err() == nil {
+		t.confirmedTenure.Store(tenure)
 	}
 	if ctx.Err() == nil {
 		t.Notify(planner.BatchSaved{Batch: batch})
@@ -65,6 +68,49 @@
 	return nil
 }
 
+// splitAppend divides records into parts that the store accepts in one append each. What depends on a
+// batch waits for all of them.
+func splitAppend(records []connector.KeyedRecord) [][]connector.KeyedRecord {
+	var parts [][]connector.KeyedRecord
+	begin, size := 0, 0
+	for i, r := range records {
+		n := connector.RecordBytes(r) + recordOverhead
+		if i > begin && size+n > connector.MaxAppendBytes {
+			parts = append(parts, records[begin:i])
+			begin, size = i, 0
+		}
+		size += n
+	}
+	if begin < len(records) {
+		parts = append(parts, records[begin:])
+	}
+	return parts
+}
+
+// recordOverhead is what the store's protocol adds to the key and value of a record at most.
+const recordOverhead = 16
+
+// encodeEstimates encodes the estimates of interference. If they are larger than the store accepts,
+// those from the fewest observations are left out.
+func encodeEstimates(estimates []estimator.Record) ([]byte, error) {
+	value, err := cbor.Marshal(estimates)
+	if err != nil || len(value) <= maxEstimateBytes {
+		return value, errors.Wrap(err, "encode estimates")
+	}
+	kept := slices.Clone(estimates)
+	slices.SortFunc(kept, func(a, b estimator.Record) int { return cmp.Compare(b.Samples, a.Samples) })
+	for len(value) > maxEstimateBytes {
+		kept = kept[:len(kept)*maxEstimateBytes/len(value)*9/10]
+		if value, err = cbor.Marshal(kept); err != nil {
+			return nil, errors.Wrap(err, "encode estimates")
+		}
+	}
+	return value, nil
+}
+
+// maxEstimateBytes bounds the encoded estimates, so that they fit into a record with their key.
+const maxEstimateBytes = connector.MaxRecordBytes - 1<<10
+
 // encodeBatch returns the records of a batch as they are stored. A record without a value deletes
 // the one with its key.
 func (t *Term) encodeBatch(b planner.Batch) ([]connector.KeyedRecord, error) {
@@ -79,9 +125,9 @@
 		records = append(records, connector.KeyedRecord{Key: keyJobPrefix + string(r.ID), Value: value})
 	}
 	if len(b.Estimates) > 0 {
-		value, err := cbor.Marshal(b.Estimates)
+		value, err := encodeEstimates(b.Estimates)
 		if err != nil {
-			return nil, errors.Wrap(err, "encode estimates")
+			return nil, err
 		}
 		records = append(records, connector.KeyedRecord{Key: keyEstimates, Value: value})
 	}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -108,13 +108,16 @@
 	// became due. The objective counts from here.
 	waitingSince time.Time
 	objective    time.Time
-	// occurrences holds the task groups of each occurrence that became due.
+	// occurrences holds the task groups of each occurrence that was begun, but for those that
+	// finished a while ago.
 	occurrences map[int][]*taskGroup
-	// nextOccurrence is the first occurrence that is not yet due.
-	nextOccurrence      int
-	finishedOccurrences int
-	started             bool
-	state               JobState
+	// nextOccurrence is the first occurrence that is not begun yet.
+	nextOccurrence int
+	// finished are the occurrences whose tasks are all done, and finishedAt is when that was.
+	finished   occurrenceSet
+	finishedAt map[int]time.Time
+	started    bool
+	state      JobState
 	// visibleState is the state that callers see: the newest one that is stored.
 	visibleState JobState
 	endedAt      time.Time
@@ -224,7 +227,7 @@
 	}
 	groups := g.job.occurrences[g.occurrence]
 	if allDone(groups) {
-		p.finishOccurrence(g.job)
+		p.finishOccurrence(g.job, g.occurrence)
 		return
 	}
 	p.unblockTasks(g.job, g.occurrence)
@@ -239,11 +242,15 @@
 	return true
 }
 
-// finishOccurrence counts an occurrence whose tasks are all done, and completes the job with the
+// finishOccurrence records an occurrence whose tasks are all done, and completes the job with the
 // last one.
-func (p *Planner) finishOccurrence(j *job) {
-	j.finishedOccurrences++
-	if j.finishedOccurrences == j.occurrenceCount() {
+func (p *Planner) finishOccurrence(j *job, occurrence int) {
+	j.finished = j.finished.add(occurrence)
+	if j.finishedAt == nil {
+		j.finishedAt = map[int]time.Time{}
+	}
+	j.finishedAt[occurrence] = p.now
+	if j.finished.len() == j.occurrenceCount() {
 		p.endJob(j, StateCompleted)
 	}
 }
@@ -278,15 +285,23 @@
 	}
 }
 
-// createDueOccurrences creates the occurrences of scheduled jobs that have become due.
+// createDueOccurrences creates the occurrences of scheduled jobs that have become due. Those that do
+// not fit into the record of their job wait until earlier ones are finished.
 func (p *Planner) createDueOccurrences() {
 	for j := range p.scheduled {
 		for j.nextOccurrence < j.occurrenceCount() && !p.wallClock().Before(j.def.Schedule.Due(j.nextOccurrence)) {
 			k := j.nextOccurrence
-			j.nextOccurrence++
+			if j.finished.contains(k) {
+				j.nextOccurrence++
+				continue
+			}
 			if j.occurrences[k] == nil {
+				if !j.mayOpenOccurrence() {
+					break
+				}
 				p.createOccurrence(j, k)
 			}
+			j.nextOccurrence++
 			j.setWaitStart(later(j.submitted, p.now.Add(j.def.Schedule.Due(k).Sub(p.wallClock()))))
 			p.unblockTasks(j, k)
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -340,7 +340,11 @@
 		}
 	}
 	for j := range p.scheduled {
-		if in := j.def.Schedule.Due(j.nextOccurrence).Sub(p.wallClock()); p.now.Add(in).Before(next) {
+		in := j.def.Schedule.Due(j.nextOccurrence).Sub(p.wallClock())
+		if in <= 0 && !j.mayOpenOccurrence() {
+			continue
+		}
+		if p.now.Add(in).Before(next) {
 			next = p.now.Add(max(in, 0))
 		}
 	}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -41,11 +41,20 @@
 		Submitted: identifier.UnixMillis(j.submitted.UnixMilli()), Objective: identifier.UnixMillis(j.objective.UnixMilli()),
 		Steps: make([]submitter.StepReport, len(j.def.Steps)),
 	}
-	for _, groups := range j.occurrences {
+	dropped := j.finished.len()
+	for k, groups := range j.occurrences {
+		if j.finished.contains(k) {
+			dropped--
+		}
 		for i, g := range groups {
 			countTasks(&r.Steps[i], g)
 		}
 	}
+	for i := range r.Steps {
+		done := dropped * j.def.Steps[i].Count
+		r.Steps[i].Tasks += done
+		r.Steps[i].Done += done
+	}
 	return r
 }
 
--- a/internal/planner/retirer.go
+++ b/internal/planner/retirer.go
@@ -44,10 +44,14 @@
 // retire drops the jobs that ended longer ago than the retention, and has their records deleted.
 func (p *Planner) retire() {
 	p.deleteSubmissions()
-	if p.settings.Retention <= 0 || p.now.Sub(p.retirements.searchedAt) < retirePeriod {
+	if p.now.Sub(p.retirements.searchedAt) < retirePeriod {
 		return
 	}
 	p.retirements.searchedAt = p.now
+	p.dropFinishedOccurrences()
+	if p.settings.Retention <= 0 {
+		return
+	}
 	for id, j := range p.jobs {
 		if !j.state.Ended() || j.runCount > 0 || j.visibleState != j.state || p.now.Sub(j.endedAt) < p.settings.Retention+retentionMargin {
 			continue
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -31,6 +31,9 @@
 	Lost []LostRecord `cbor:"7,keyasint,omitempty"`
 	// Evictions count how often tasks were stopped because they made too little progress.
 	Evictions []EvictionRecord `cbor:"8,keyasint,omitempty"`
+	// Finished are the occurrences whose tasks are all done. Tasks holds only those of their tasks
+	// that may still have an active run.
+	Finished []OccurrenceRange `cbor:"9,keyasint,omitempty"`
 }
 
 // EvictionRecord is how often a task was stopped because it made too little progress.
@@ -82,9 +85,24 @@
 // ErrMalformedJobRecord marks errors for bytes that do not decode to a JobRecord.
 var ErrMalformedJobRecord = errors.New("malformed job record")
 
-// Encode returns the CBOR encoding of the record.
+// maxEncodedBytes bounds an encoded record, so that it fits into a record of the store with its key.
+const maxEncodedBytes = connector.MaxRecordBytes - 1<<10
+
+// Encode returns the CBOR encoding of the record. If that is larger than the store accepts, it leaves
+// out what only saves work after a takeover: the checkpoints, and then the lost runs and evictions.
 func (r JobRecord) Encode() ([]byte, error) {
 	data, err := cbor.Marshal(r)
+	if err == nil && len(data) > maxEncodedBytes {
+		r.Tasks = slices.Clone(r.Tasks)
+		for i := range r.Tasks {
+			r.Tasks[i].Checkpoint = ""
+		}
+		data, err = cbor.Marshal(r)
+	}
+	if err == nil && len(data) > maxEncodedBytes {
+		r.Lost, r.Evictions = nil, nil
+		data, err = cbor.Marshal(r)
+	}
 	return data, errors.Wrap(err, "encode job record")
 }
 
@@ -285,6 +303,9 @@
 		r.Lost = lostRunsOf(j)
 		r.Evictions = evictionsOf(j)
 	}
+	if j.def.Schedule != nil {
+		r.Finished = slices.Clone(j.finished)
+	}
 	return r
 }
 
@@ -326,9 +347,9 @@
 }
 
 // appendTasks appends the records of a group's tasks. Tasks that never ran are left out, and so are
-// those of an ended job that have no run left.
+// those of an ended job or a finished occurrence that have no run left.
 func appendTasks(out []TaskRecord, occurrence int, g *taskGroup) []TaskRecord {
-	ended := g.job.state.Ended()
+	ended := g.job.state.Ended() || g.job.def.Schedule != nil && g.job.finished.contains(occurrence)
 	for i := range g.tasks {
 		t := &g.tasks[i]
 		if t.attempt == 0 || ended && len(t.runs) == 0 {
@@ -381,6 +402,7 @@
 	if rec.State != StateQueued {
 		j.started = true
 	}
+	j.restoreFinished(rec.Finished)
 	for _, tr := range rec.Tasks {
 		p.restoreTask(j, tr)
 	}
@@ -425,6 +447,9 @@
 	}
 	if j.occurrences[rec.Occurrence] == nil {
 		p.createOccurrence(j, rec.Occurrence)
+		if j.finished.contains(rec.Occurrence) {
+			p.markOccurrenceDone(j, rec.Occurrence)
+		}
 	}
 	g := j.occurrences[rec.Occurrence][rec.Step]
 	t := &g.tasks[rec.Index]
@@ -432,7 +457,7 @@
 	if g.step.Gang {
 		g.failedGangRuns += rec.Failures
 	}
-	if rec.Done {
+	if rec.Done && t.phase != taskDone {
 		p.setPhase(t, taskDone)
 		g.doneTasks++
 	}
@@ -441,6 +466,16 @@
 	}
 }
 
+// markOccurrenceDone marks the tasks of a restored occurrence as done.
+func (p *Planner) markOccurrenceDone(j *job, occurrence int) {
+	for _, g := range j.occurrences[occurrence] {
+		for i := range g.tasks {
+			p.setPhase(&g.tasks[i], taskDone)
+		}
+		g.doneTasks = len(g.tasks)
+	}
+}
+
 // restoreLost applies the record of a task's lost runs.
 func (p *Planner) restoreLost(j *job, rec LostRecord) {
 	t := p.lookupTask(identifier.JobTask{Job: j.def.ID, Occurrence: rec.Occurrence, Step: rec.Step, Index: rec.Index})
@@ -481,10 +516,15 @@
 // others.
 func (p *Planner) resumeJob(j *job) {
 	for k, groups := range j.occurrences {
-		if allDone(groups) {
-			p.finishOccurrence(j)
-			continue
+		switch {
+		case j.finished.contains(k):
+		case allDone(groups):
+			p.finishOccurrence(j, k)
+		default:
+			p.unblockTasks(j, k)
 		}
-		p.unblockTasks(j, k)
+	}
+	if j.finished.len() == j.occurrenceCount() {
+		p.endJob(j, StateCompleted)
 	}
 }
