A silent host leaves the pool before its connection is closed

In that time the pool could give calls to a closed session, which fail as not sent.

The pool now forgets a silent host first and then closes its connection.

--- a/internal/carrier/pool.go
+++ b/internal/carrier/pool.go
@@ -173,7 +173,7 @@
 		sleeper.Pause(ctx, silenceCheckInterval)
 		for _, s := range p.silentSessions(time.Since(began)) {
 			p.logger.Warn("host that calls workers is silent", zap.String("host", string(s.offer.Name)))
-			s.close()
+			p.removeSession(s)
 		}
 	}
 	p.Close()
@@ -234,7 +234,7 @@
 	}
 	go func() {
 		err := s.run(context.Background())
-		p.removeSession(peer, s)
+		p.removeSession(s)
 		p.logger.Info("host does not call workers any more", zap.String("host", string(o.Name)), logger.Err(err))
 	}()
 	return offerResponse{Compress: compress}, nil
@@ -252,12 +252,13 @@
 	return true
 }
 
-// removeSession closes a session and reassigns its workers when they are next called.
-func (p *Pool) removeSession(peer messenger.Peer, s *hostSession) {
+// removeSession reassigns the workers of a session when they are next called, and closes it. No call
+// is given to a session that is closed.
+func (p *Pool) removeSession(s *hostSession) {
 	p.mu.Lock()
-	if p.sessions[peer] == s {
-		delete(p.sessions, peer)
-		p.assigner.removeHost(peer)
+	if p.sessions[s.peer] == s {
+		delete(p.sessions, s.peer)
+		p.assigner.removeHost(s.peer)
 	}
 	p.mu.Unlock()
 	s.close()
