Read the diff again: appends after the end of a term, blame after a good run

- A batch of several appends went on with the next one after its term had ended, so that the hand-over would have repeated the wrong append.
- A lasting task that once failed on one worker never counted against another one again, however long it had run since.
- Plainer log line for a lease that is longer than usual.

--- a/internal/dispatcher/saver.go
+++ b/internal/dispatcher/saver.go
@@ -55,16 +55,15 @@
 		return err
 	}
 	for _, part := range splitAppend(records) {
-		if err := t.append(ctx, part); err != nil {
+		// append returns nil once ctx has ended; its records are then those that handOver repeats.
+		if err := t.append(ctx, part); err != nil || ctx.Err() != nil {
 			return err
 		}
 	}
-	if len(records) > 0 && ctx.Err() == nil {
+	if len(records) > 0 {
 		t.confirmedTenure.Store(tenure)
 	}
-	if ctx.Err() == nil {
-		t.Notify(planner.BatchSaved{Batch: batch})
-	}
+	t.Notify(planner.BatchSaved{Batch: batch})
 	return nil
 }
 
--- a/internal/planner/end.go
+++ b/internal/planner/end.go
@@ -143,7 +143,7 @@
 		return
 	}
 	if r.inherited || p.now.Sub(r.startedAt) > shortRun {
-		t.restarts = 0
+		t.restarts, t.blamedOn = 0, ""
 		return
 	}
 	t.notBefore = p.now.Add(backoff(t.restarts))
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -259,7 +259,7 @@
 	}
 	w.leaseEnd = later(w.leaseEnd, p.now.Add(time.Duration(float64(granted)/(1-maxClockDrift))))
 	if float64(granted) > float64(p.settings.Lease)/(1-maxClockDrift) {
-		p.log.WorkerChanged(w.id, "granted a longer lease than it was to be asked for")
+		p.log.WorkerChanged(w.id, "granted a longer lease than usual")
 		p.leases.RecordExtension(w.id, w.leaseEnd)
 	}
 }
