--- a/internal/dialer/minion_test.go
+++ b/internal/dialer/minion_test.go
@@ -18,6 +18,14 @@
 // connection, and returns its address. After an empty last answer it keeps the connection open.
 func serveRaw(t *testing.T, answers ...string) string {
 	t.Helper()
+	address, _ := serveRawClosing(t, answers...)
+	return address
+}
+
+// serveRawClosing is serveRaw; closed holds a token once the server has closed a connection.
+func serveRawClosing(t *testing.T, answers ...string) (address string, closed <-chan struct{}) {
+	t.Helper()
+	done := make(chan struct{}, 1)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -29,10 +37,16 @@
 			if err != nil {
 				return
 			}
-			go writeAnswers(conn, answers)
+			go func() {
+				writeAnswers(conn, answers)
+				select {
+				case done <- struct{}{}:
+				default:
+				}
+			}()
 		}
 	}()
-	return ln.Addr().String()
+	return ln.Addr().String(), done
 }
 
 func writeAnswers(conn net.Conn, answers []string) {
@@ -114,14 +128,15 @@
 		}
 	})
 	t.Run("nothing is sent over a closed connection", func(t *testing.T) {
-		conn, err := DialMinion(context.Background(), serveRaw(t, okAnswer("r1", "one")))
+		address, closed := serveRawClosing(t, okAnswer("r1", "one"))
+		conn, err := DialMinion(context.Background(), address)
 		if err != nil {
 			t.Fatal(err)
 		}
 		if err := doRequest(t, conn); err != nil {
 			t.Fatal(err)
 		}
-		time.Sleep(50 * time.Millisecond)
+		<-closed
 		if err := doRequest(t, conn); !errors.Is(err, connector.ErrNotSent) || !errors.Is(err, ErrStaleConnection) {
 			t.Errorf("error %v, want one marked ErrNotSent and ErrStale", err)
 		}
