--- a/internal/drafter/failed.go
+++ b/internal/drafter/failed.go
@@ -18,6 +18,7 @@
 	{defaultOptions(3001), "a host that had just started refused jobs of queues that it had not read yet as not found"},
 	{defaultOptions(4001), "a holder that was paused answered from what it knew before: states went back"},
 	{defaultOptions(7004), "a job that was cancelled before its end was stored was shown as completed, and as cancelled by the next holder"},
+	{defaultOptions(40120), "a worker that had restarted during a pause of all hosts was told to forget ends that were not read yet"},
 }
 
 // defaultOptions returns options with the size and duration of most manual runs.
--- a/internal/planner/life_test.go
+++ b/internal/planner/life_test.go
@@ -118,3 +118,25 @@
 		t.Fatalf("ends up to %d count as stored, want 3", n)
 	}
 }
+
+// TestAnswersToStartsAllowNoAcknowledgement guards against ends that are lost: a worker that has
+// restarted while its holder was paused answers a start, which does not tell its incarnation, and
+// must not be told to forget ends by the numbers of the former one.
+func TestAnswersToStartsAllowNoAcknowledgement(t *testing.T) {
+	b := newTestbed(t, workerEntry("w"))
+	b.update(0)
+	b.answerPoll("w", connector.HoldAnswer{StartedAt: 1})
+	ended := []connector.EndedRun{{Number: 9, Run: connector.RunID{Task: identifier.JobTask{Job: "00000000000000bb"}, Attempt: 1}, Reason: connector.EndDone}}
+	b.answerNewPoll("w", connector.HoldAnswer{StartedAt: 1, Ended: ended})
+	b.save()
+	if n := b.p.workers["w"].storedEnd; n != 9 {
+		t.Fatalf("ends up to %d are stored, want 9", n)
+	}
+	s := b.startOne(submitter.Step{Count: 1, Size: smallSize})
+	b.update(2 * time.Second)
+	b.update(0, PollAnswered{Worker: "w", SentAt: b.now, Err: errNoAnswer})
+	b.update(0, StartAnswered{Worker: "w", Run: s.Order.Run, Epoch: s.Order.Epoch, Answer: connector.OrderAnswer{Verdict: connector.VerdictOK, Clock: 1}})
+	if poll := b.nextPoll(); poll.Order.Forget != 0 {
+		t.Fatalf("the worker is told to forget ends up to %d", poll.Order.Forget)
+	}
+}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -29,7 +29,7 @@
 	// decoded, since it answers at once. It is below sameIncarnationTime, so that the ends before
 	// that one are still acknowledged.
 	unreadablePause = 250 * time.Millisecond
-	// sameIncarnationTime is for how long after an answer the worker cannot have been replaced by a
+	// sameIncarnationTime is for how long after an answer to a poll the worker cannot have been replaced by a
 	// new incarnation. Ended runs are numbered from one again after a restart, so that an
 	// acknowledgement must not reach the next incarnation.
 	sameIncarnationTime = 300 * time.Millisecond
@@ -72,7 +72,7 @@
 // delayed answer only if nothing needs an answer at once.
 func (p *Planner) sendPoll(w *worker) {
 	order := connector.HoldOrder{Epoch: p.epochOf(w)}
-	sameIncarnation := w.synced && w.missedPolls == 0 && p.now.Sub(w.heardAt) < sameIncarnationTime
+	sameIncarnation := w.synced && w.missedPolls == 0 && p.now.Sub(w.polledAt) < sameIncarnationTime
 	if sameIncarnation {
 		order.Forget = w.ackableEnd()
 	}
@@ -207,6 +207,7 @@
 	p.counts.polls++
 	p.counts.listedRuns += len(e.Answer.Active)
 	w.recordAnswer(p.now, e.Answer.Clock)
+	w.polledAt = p.now
 	if e.Order.LeaseUntil != nil {
 		w.recordRenewal(e.Answer.OrderAnswer, p.now)
 		p.recordGrant(w, *e.Order.LeaseUntil, e.Answer.Clock)
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -101,8 +101,9 @@
 	// clock is the worker's own clock as last reported, and clockAt when that was.
 	clock   connector.WorkerClock
 	clockAt time.Time
-	// heardAt is when the worker last answered; zero if never in this term.
-	heardAt time.Time
+	// heardAt is when the worker last answered; zero if never in this term. polledAt is when it last
+	// answered a poll, which tells its incarnation.
+	heardAt, polledAt time.Time
 	// leaseEnd is when all runs on the worker have certainly stopped unless it is heard from again.
 	leaseEnd time.Time
 	// renewalSentAt is when an order that renews the lease was last sent.
