Read the change once more: one copy of three pieces

Behaviour and bounds stay as they are.

- An attempt to take a cell over was remembered before it was known whether it would be stored, one entry for each failed try while the store is away.
It is remembered with the append that names it.
- The loop of short jobs beside a repeated task stood three times in repeat_test.go: probe, with the same bound of a second.

--- a/internal/dispatcher/repeat_test.go
+++ b/internal/dispatcher/repeat_test.go
@@ -40,6 +40,19 @@
 	return state
 }
 
+// maxProbe is how long a job of one short task may take beside a task that is repeated.
+const maxProbe = time.Second
+
+// probe submits the job of one short task and checks that it is completed within maxProbe.
+func (c *testCell) probe(t *testing.T, n int) {
+	t.Helper()
+	id := c.submitSteps(100+n, smallStep)
+	time.Sleep(maxProbe)
+	if state := c.stateOf(id); state != planner.StateCompleted {
+		t.Errorf("a short job beside the repeated task is %q after %v", state, maxProbe)
+	}
+}
+
 var smallStep = submitter.Step{Count: 1, Size: identifier.Size{Processors: 1000, Memory: 1000}, Estimate: identifier.Duration(300 * time.Millisecond)}
 
 // TestLongTaskOfAStepEnds guards against a task that takes far longer than the others of its step
@@ -51,8 +64,6 @@
 		// maxStarts is the number of starts of the long task: it may be tried on other workers,
 		// but not again and again.
 		maxStarts = 5
-		// maxProbe is how long a job of one short task may take beside it.
-		maxProbe = time.Second
 	)
 	tests := map[string]struct {
 		workers   int
@@ -96,11 +107,7 @@
 					if time.Since(began) > limit {
 						t.Fatalf("the job is %q after %v and %d starts of its long task", c.stateOf(id), limit, starts.Load())
 					}
-					probe := c.submitSteps(100+n, smallStep)
-					time.Sleep(maxProbe)
-					if state := c.stateOf(probe); state != planner.StateCompleted {
-						t.Errorf("a short job beside the long task is %q after %v", state, maxProbe)
-					}
+					c.probe(t, n)
 				}
 				if n := starts.Load(); n > maxStarts {
 					t.Errorf("%d starts of the long task, want at most %d", n, maxStarts)
@@ -146,11 +153,7 @@
 					step.LongRunning = true
 					c.submitSteps(1, step)
 					for n := range int(watch / time.Second) {
-						probe := c.submitSteps(100+n, smallStep)
-						time.Sleep(time.Second)
-						if state := c.stateOf(probe); state != planner.StateCompleted {
-							t.Errorf("a short job beside the failing task is %q after a second", state)
-						}
+						c.probe(t, n)
 					}
 					if n := starts.Load(); n > maxStarts {
 						t.Errorf("%d starts in %v, want at most %d", n, watch, maxStarts)
@@ -199,11 +202,7 @@
 				defer c.close()
 				c.submitSteps(1, smallStep)
 				for n := range int(watch / time.Second) {
-					probe := c.submitSteps(100+n, smallStep)
-					time.Sleep(time.Second)
-					if state := c.stateOf(probe); state != planner.StateCompleted {
-						t.Errorf("a short job beside the refused task is %q after a second", state)
-					}
+					c.probe(t, n)
 				}
 				if n := starts.Load(); n > maxStarts {
 					t.Errorf("%d starts in %v, want at most %d", n, watch, maxStarts)
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -108,7 +108,6 @@
 	takeover := renewer.TakeoverID(rand.Text())
 	began := t.uptime()
 	assigned, tenure := t.valid(), t.tenure()
-	t.attempts[takeover] = began
 	estimate := make(chan renewer.ClockEstimate, 1)
 	go func() { estimate <- t.estimateClock(ctx, takeover, began) }()
 	records, end, err := t.readNewest(ctx, TopicWork)
@@ -126,7 +125,9 @@
 	}
 	epoch := holder.Epoch + 1
 	estimated := <-estimate
-	if !assigned || !t.valid() || t.tenure() != tenure {
+	if assigned && t.valid() && t.tenure() == tenure {
+		t.attempts[takeover] = began
+	} else {
 		takeover = ""
 	}
 	leases = leases.BeginTerm(epoch, takeover, estimated)
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -96,7 +96,8 @@
 	confirmedTenure atomic.Uint64
 	// startClock is the cell's clock at the start of the term; nil before the takeover is stored.
 	startClock atomic.Pointer[cellClock]
-	// attempts are the uptimes at which the attempts of this term to take the cell over began.
+	// attempts are the uptimes at which the attempts to take the cell over began whose append may
+	// have been stored, and with which the term may start.
 	attempts map[renewer.TakeoverID]time.Duration
 
 	// mu guards the planner, which is nil before the takeover, and inboxOffset, from which the
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -52,7 +52,12 @@
 // InheritedLease returns how long runs of the previous holder may go on after it last reached the
 // store: it renews leases for grace from then on, and workers' clocks may be slow.
 func InheritedLease(grace, lease time.Duration) time.Duration {
-	return grace + time.Duration(float64(lease)/(1-maxClockDrift))
+	return grace + bySlowClock(lease)
+}
+
+// bySlowClock returns how long a span of a worker's clock takes at most.
+func bySlowClock(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 - maxClockDrift))
 }
 
 // Planner holds the scheduling state of a cell. Its methods are not safe for concurrent use.
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -228,10 +228,7 @@
 // runs slow, and returns that end by the worker's clock.
 func (p *Planner) reserveLease(w *worker) connector.WorkerClock {
 	until := w.clock + connector.WorkerClock(p.now.Sub(w.clockAt)+p.settings.Lease)
-	span := time.Duration(float64(time.Duration(until-w.clock)) / (1 - maxClockDrift))
-	if end := w.clockAt.Add(span); end.After(w.leaseEnd) {
-		w.leaseEnd = end
-	}
+	w.leaseEnd = later(w.leaseEnd, w.clockAt.Add(bySlowClock(time.Duration(until-w.clock))))
 	w.requestedLease = max(w.requestedLease, until)
 	return until
 }
@@ -243,7 +240,7 @@
 // a worker has runs under a lease that this holder did not grant, or whose start it does not know:
 // an order was carried out late, or by a later incarnation of the worker.
 func (p *Planner) assumeLongestLease(w *worker) {
-	w.leaseEnd = later(w.leaseEnd, p.now.Add(time.Duration(float64(p.settings.MaxLease)/(1-maxClockDrift))))
+	w.leaseEnd = later(w.leaseEnd, p.now.Add(bySlowClock(p.settings.MaxLease)))
 	p.leases.RecordExtension(w.id, w.leaseEnd)
 }
 
@@ -258,8 +255,8 @@
 	if granted <= 0 {
 		return
 	}
-	w.leaseEnd = later(w.leaseEnd, p.now.Add(time.Duration(float64(granted)/(1-maxClockDrift))))
-	if float64(granted) > float64(p.settings.Lease)/(1-maxClockDrift) {
+	w.leaseEnd = later(w.leaseEnd, p.now.Add(bySlowClock(granted)))
+	if granted > bySlowClock(p.settings.Lease) {
 		p.log.WorkerChanged(w.id, "granted a longer lease than usual")
 		p.leases.RecordExtension(w.id, w.leaseEnd)
 	}
--- a/internal/renewer/renewer.go
+++ b/internal/renewer/renewer.go
@@ -4,10 +4,9 @@
 // Lease expiries are stored as times of the cell's clock, which all holders share. A new holder
 // continues it from the last stored value, from a later reading that a host has observed, or by the
 // age of the last takeover, of which hosts hear before it is stored. So the clock may lag behind
-// real time but never runs ahead of it. A holder renews a worker's
-// lease only after storing a record that marks the lease as renewable. When it stops renewing,
-// it stores the time at which the lease expires. A takeover therefore does not restart the wait
-// for the lease of a lost worker.
+// real time but never runs ahead of it. A holder renews a worker's lease only after storing a record
+// that marks the lease as renewable. When it stops renewing, it stores the time at which the lease
+// expires. A takeover therefore does not restart the wait for the lease of a lost worker.
 package renewer
 
 import (
