--- a/internal/dialer/store.go
+++ b/internal/dialer/store.go
@@ -70,6 +70,9 @@
 // NewStore returns the store at an address.
 func NewStore(rpc *messenger.Client, address string) *Store { return &Store{rpc, address} }
 
+// Address returns the address of the store, or of the host that calls it.
+func (s *Store) Address() string { return s.address }
+
 // call makes a call and marks a refusal with the error of connector.Store for its code, or with
 // connector.ErrUnknown if there is none.
 func (s *Store) call(ctx context.Context, method messenger.Method, params, result any) error {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -377,6 +377,7 @@
 		limit := s.readSizes.limit(topic)
 		r, err := peer.ReadUpTo(ctx, topic, part, from, wait, limit)
 		s.readSizes.update(topic, limit, r.More, err)
+		r.Via = peer.Address()
 		return r, err
 	})
 }
