A host that acts on a newer configuration than its own knows it (CONFIG)

Callers saw, or could see: a host starts tasks of a queue, for a job that another host accepted, and answers 404 for the same queue; or a job runs by settings of its queue older than those it was accepted by (the former service).

Cause: a job carried the settings of its queue without their version.

Change: a submission says the version.

--- a/internal/connector/runner.go
+++ b/internal/connector/runner.go
@@ -207,7 +207,9 @@
 // Directory is a snapshot of the platform's configuration and list of workers. It is immutable once
 // it has been handed out.
 type Directory struct {
-	Version   identifier.ConfigVersion             `json:"version"`
+	Version identifier.ConfigVersion `json:"version"`
+	// Expected is the newest version of the configuration that another host is known to act on.
+	Expected  identifier.ConfigVersion             `json:"-"`
 	Queues    map[identifier.Queue]QueueConfig     `json:"queues"`
 	Services  map[identifier.Service]ServiceConfig `json:"services"`
 	Evacuated map[identifier.DataCentre]bool       `json:"evacuated"`
@@ -217,3 +219,6 @@
 	WorkersReadAt time.Time                         `json:"workersSeen"`
 	Workers       map[identifier.Worker]WorkerEntry `json:"workers"`
 }
+
+// Outdated reports whether another host acts on a newer configuration than this one.
+func (d Directory) Outdated() bool { return d.Expected > d.Version }
--- a/internal/dialer/directory.go
+++ b/internal/dialer/directory.go
@@ -11,6 +11,7 @@
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/messenger"
 	"github.com/balsamcove/balsamcove/internal/sleeper"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
 
 const (
@@ -46,6 +47,13 @@
 	return d.current
 }
 
+// Expect implements supervisor.Directory. The next read follows within directoryInterval.
+func (d *Directory) Expect(version identifier.ConfigVersion) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.current.Expected = max(d.current.Expected, version)
+}
+
 // WatchWorkers does nothing, since the workers are part of every read.
 func (*Directory) WatchWorkers() (stop func()) { return func() {} }
 
@@ -70,6 +78,7 @@
 	}
 	next.ConfigReadAt, next.WorkersReadAt = startedAt, startedAt
 	d.mu.Lock()
+	next.Expected = d.current.Expected
 	d.current = next
 	d.mu.Unlock()
 	d.onRead(next)
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -83,6 +83,7 @@
 	estimateClock  func(context.Context, renewer.TakeoverID, time.Duration) renewer.ClockEstimate
 	tenure         func() uint64
 	unpaused       func() bool
+	observeConfig  func(identifier.ConfigVersion)
 	uptime         func() time.Duration
 
 	events *eventQueue
@@ -153,6 +154,12 @@
 // answers than this one can.
 func WithPauseCheck(unpaused func() bool) Option { return func(t *Term) { t.unpaused = unpaused } }
 
+// WithConfigObserver sets a function that receives the version of the configuration by which each job
+// was accepted.
+func WithConfigObserver(observe func(identifier.ConfigVersion)) Option {
+	return func(t *Term) { t.observeConfig = observe }
+}
+
 // NewTerm returns a term of a cell; Run begins it.
 func NewTerm(cell identifier.Cell, s Settings, store connector.Store, runner connector.Runner, logger *zap.Logger, opts ...Option) *Term {
 	created := time.Now()
@@ -164,7 +171,7 @@
 		onEventWait: func(time.Duration) {}, estimateClock: func(context.Context, renewer.TakeoverID, time.Duration) renewer.ClockEstimate {
 			return renewer.ClockEstimate{}
 		},
-		tenure: func() uint64 { return 0 }, unpaused: func() bool { return true },
+		tenure: func() uint64 { return 0 }, unpaused: func() bool { return true }, observeConfig: func(identifier.ConfigVersion) {},
 		uptime: func() time.Duration { return time.Since(created) },
 		events: newEventQueue(), attempts: map[renewer.TakeoverID]time.Duration{},
 		saveDue: make(chan struct{}, 1),
@@ -397,7 +404,8 @@
 		switch {
 		case !ok:
 		case e.Submission != nil:
-			events = append(events, planner.JobSubmitted{Job: e.Submission.Job, Queue: e.Submission.Queue, Key: r.Key, At: e.Submission.At})
+			events = append(events, planner.JobSubmitted{Job: e.Submission.Job, Queue: e.Submission.Queue, Key: r.Key, At: e.Submission.At, ConfigVersion: e.Submission.ConfigVersion})
+			t.observeConfig(e.Submission.ConfigVersion)
 		case e.Cancellation != nil:
 			events = append(events, planner.JobCancelled{ID: e.Cancellation.ID, At: e.Cancellation.At})
 		}
--- a/internal/intake/record.go
+++ b/internal/intake/record.go
@@ -25,10 +25,13 @@
 var ErrMalformedRecord = errors.New("malformed inbox record")
 
 // Submission is an accepted job, with the configuration of its queue and the time of acceptance.
+// ConfigVersion is the version of that configuration; zero if the accepting host did not state it.
 type Submission struct {
 	Job   submitter.Job         `cbor:"1,keyasint" json:"job"`
 	Queue connector.QueueConfig `cbor:"2,keyasint" json:"queue"`
 	At    identifier.UnixMillis `cbor:"3,keyasint" json:"at"`
+
+	ConfigVersion identifier.ConfigVersion `cbor:"4,keyasint,omitempty" json:"configVersion,omitempty"`
 }
 
 // Cancellation requests the end of a job.
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -101,10 +101,13 @@
 		return refuser.New(refuser.CodeNotReady, "there is no configuration yet").WithRetryAfter(notReadyRetryAfter)
 	}
 	queue, ok := directory.Queues[job.Queue]
+	if !ok && directory.Outdated() {
+		return refuser.New(refuser.CodeNotReady, "a newer configuration is being read").WithRetryAfter(notReadyRetryAfter)
+	}
 	if !ok {
 		return refuser.New(refuser.CodeNotFound, "there is no queue %q", job.Queue)
 	}
-	return s.jobs.Submit(ctx, intake.Submission{Job: job, Queue: queue, At: identifier.UnixMillis(time.Now().UnixMilli())})
+	return s.jobs.Submit(ctx, intake.Submission{Job: job, Queue: queue, ConfigVersion: directory.Version, At: identifier.UnixMillis(time.Now().UnixMilli())})
 }
 
 // acceptedResponse is the response to a submission or cancellation that has been stored.
--- a/internal/planner/event.go
+++ b/internal/planner/event.go
@@ -24,6 +24,8 @@
 		Key string
 		// At is when the job was accepted, by the clock of the host that accepted it.
 		At identifier.UnixMillis
+		// ConfigVersion is the version of the configuration that Queue is from; zero if unknown.
+		ConfigVersion identifier.ConfigVersion
 	}
 	// JobCancelled brings a stored cancellation.
 	JobCancelled struct {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -100,6 +100,8 @@
 	def   submitter.Job
 	key   string
 	queue connector.QueueConfig
+	// configVersion is the version of the configuration by which the job was accepted; zero if unknown.
+	configVersion identifier.ConfigVersion
 	// queueSubmitted is set if the submission carried the queue's configuration.
 	queueSubmitted bool
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -297,11 +297,9 @@
 	}
 	j := &job{
 		def: e.Job, queue: e.Queue, queueSubmitted: e.Queue.Name != "", submitted: p.now, occurrences: map[int][]*taskGroup{},
-		state: StateQueued, visibleState: StateQueued, key: e.Key,
-	}
-	if q, ok := p.directory.Queues[e.Job.Queue]; ok {
-		j.queue = q
+		state: StateQueued, visibleState: StateQueued, key: e.Key, configVersion: e.ConfigVersion,
 	}
+	p.updateQueue(j)
 	j.setWaitStart(p.now)
 	p.jobs[j.def.ID] = j
 	if at, ok := p.cancelled[j.def.ID]; ok {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -395,9 +395,7 @@
 func (p *Planner) updateDirectory(d connector.Directory) {
 	p.directory = d
 	for _, j := range p.jobs {
-		if q, ok := d.Queues[j.def.Queue]; ok {
-			j.queue = q
-		}
+		p.updateQueue(j)
 	}
 	if d.WorkersReadAt.IsZero() {
 		return
@@ -417,6 +415,14 @@
 	}
 }
 
+// updateQueue replaces the queue settings of a job by those of the directory, unless the job was
+// accepted by a newer configuration.
+func (p *Planner) updateQueue(j *job) {
+	if q, ok := p.directory.Queues[j.def.Queue]; ok && p.directory.Version >= j.configVersion {
+		j.queue = q
+	}
+}
+
 // owns reports whether a worker belongs to the planner's cell, by the hash of its id.
 func (p *Planner) owns(id identifier.Worker) bool {
 	return p.settings.Cells <= 1 || identifier.CellOf(identifier.Job(id), p.settings.Cells) == p.settings.Cell
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -37,6 +37,9 @@
 	Run(ctx context.Context) error
 	// Current returns the last known state.
 	Current() connector.Directory
+	// Expect states that another host acts on a version of the configuration, which is read at once if
+	// it is newer than the current one.
+	Expect(version identifier.ConfigVersion)
 	// WatchWorkers makes the directory follow the list of workers until stop is called.
 	WatchWorkers() (stop func())
 }
@@ -299,7 +302,7 @@
 	settings := s.settings.Term
 	settings.Planner.Cell, settings.Planner.Cells = cell, s.settings.Cells
 	opts := []dispatcher.Option{
-		dispatcher.WithLog(s.plannerLog), dispatcher.WithValidity(s.elector.Valid, s.elector.SinceRenewal),
+		dispatcher.WithLog(s.plannerLog), dispatcher.WithConfigObserver(s.directory.Expect), dispatcher.WithValidity(s.elector.Valid, s.elector.SinceRenewal),
 		dispatcher.WithTenure(s.elector.Tenure), dispatcher.WithPauseCheck(s.elector.RecentlyActive), dispatcher.WithUptime(uptimer.SinceBoot),
 		dispatcher.WithClockEstimate(func(ctx context.Context, takeover renewer.TakeoverID, began time.Duration) renewer.ClockEstimate {
 			return s.estimateClock(ctx, cell, takeover, began)
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -56,6 +56,8 @@
 	return nil
 }
 
+func (d *directory) Expect(identifier.ConfigVersion) {}
+
 func (d *directory) WatchWorkers() func() { return func() {} }
 
 // host is a running scheduling host.
