--- a/internal/connector/store.go
+++ b/internal/connector/store.go
@@ -88,6 +88,9 @@
 	Next identifier.Offset `json:"next"`
 	// More is set if the partition held further records when the read started.
 	More bool `json:"more,omitempty"`
+	// Behind is set if the partition ended before the offset of the read, so that the answer is from
+	// an earlier state of the store.
+	Behind bool `json:"behind,omitempty"`
 	// Via is the address of the host that made the read on behalf of this one; empty if the store
 	// itself answered.
 	Via string `json:"-" cbor:"-"`
