An older directory never replaces a newer one (CONFIG)

Callers could see: jobs that run by older settings of their queues, and tasks in an evacuated data centre, until the next read.

Cause: changes of the operators' and of the workers' records were passed on outside the lock, so that the older state could arrive last; a term began with the state from before its takeover, which takes seconds, after newer ones had been queued; the directory of the earlier interface took any answer.

--- a/internal/connector/runner.go
+++ b/internal/connector/runner.go
@@ -222,3 +222,16 @@
 
 // Outdated reports whether another host acts on a newer configuration than this one.
 func (d Directory) Outdated() bool { return d.Expected > d.Version }
+
+// Newest returns d with the configuration or the workers of previous where these were read later: the
+// directory that a term begins with may arrive after newer ones.
+func (d Directory) Newest(previous Directory) Directory {
+	if d.Version < previous.Version || d.ConfigReadAt.Before(previous.ConfigReadAt) {
+		d.Version, d.Queues, d.Services, d.Evacuated = previous.Version, previous.Queues, previous.Services, previous.Evacuated
+		d.ConfigReadAt = previous.ConfigReadAt
+	}
+	if d.WorkersReadAt.Before(previous.WorkersReadAt) {
+		d.Workers, d.WorkersReadAt = previous.Workers, previous.WorkersReadAt
+	}
+	return d
+}
--- a/internal/dialer/directory.go
+++ b/internal/dialer/directory.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
@@ -72,6 +73,9 @@
 	startedAt := time.Now()
 	var next connector.Directory
 	err := d.rpc.Call(ctx, d.address, messenger.MethodDirectory, struct{}{}, &next)
+	if v := d.Current().Version; err == nil && next.Version < v {
+		err = errors.Newf("platform answers with version %d of the configuration after %d", next.Version, v)
+	}
 	d.dependency.Report(err)
 	if err != nil {
 		return
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -393,6 +393,7 @@
 
 // updateDirectory replaces the directory and applies the changes of queues and workers.
 func (p *Planner) updateDirectory(d connector.Directory) {
+	d = d.Newest(p.directory)
 	p.directory = d
 	for _, j := range p.jobs {
 		p.updateQueue(j)
