Reads do not wait for silent peers before the store is asked (CONFIG)

Callers could see: a change is not in force in time on a host in touch with the store, because the hosts near it are suspended.

Cause: while the store does not answer a host, calls go to two peers one after the other, each for the wait of the read and 0.4 s; only then is the store called, with the wait once more: 3.8 s, bound 2 s.

Change: after the wait and the usual hedge delay the store is called as well, and whichever succeeds first counts.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -113,17 +113,21 @@
 }
 
 // hedgedCall makes a call directly and, if that fails or takes longer than hedgeDelay, through
-// peers as well; while the store does not answer this host, peers are tried first. Wait extends the
+// peers as well; while the store does not answer this host, it is the other way round. Wait extends the
 // timeouts by the time for which the store may wait for records or the link is busy with a large
 // append.
 func hedgedCall[T any](ctx context.Context, s *Store, wait time.Duration, call func(context.Context, connector.Store) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	viaPeers := outcome[T]{err: errNoPeer}
+	viaPeer := make(chan outcome[T], 1)
 	peersFirst, degraded := s.route()
 	if peersFirst {
-		if viaPeers = callPeers(ctx, s, wait, call); !peerMayHelp(viaPeers.err) {
-			return viaPeers.value, viaPeers.err
+		go func() { viaPeer <- callPeers(ctx, s, wait, call) }()
+		if out, ok := awaitPeers(viaPeer, wait); ok {
+			if !peerMayHelp(out.err) {
+				return out.value, out.err
+			}
+			viaPeer <- out
 		}
 	}
 	direct, progress := make(chan outcome[T], 1), make(chan struct{}, 1)
@@ -139,9 +143,7 @@
 		direct <- outcome[T]{value, err}
 	}()
 	if peersFirst {
-		out := <-direct
-		s.recordDirectResult(out.err)
-		return mergeOutcomes(out, viaPeers)
+		return firstSuccess(s, direct, viaPeer)
 	}
 	if out, ok := awaitDirect(direct, progress, degraded, wait); ok {
 		s.recordDirectResult(out.err)
@@ -150,11 +152,23 @@
 		}
 		return mergeOutcomes(out, callPeers(ctx, s, wait, call))
 	}
-	viaPeer := make(chan outcome[T], 1)
 	go func() { viaPeer <- callPeers(ctx, s, wait, call) }()
 	return firstSuccess(s, direct, viaPeer)
 }
 
+// awaitPeers waits for the outcome of a call through peers. Ok is false if the store should be called
+// directly as well: the peers may be suspended or gone while the store answers this host again.
+func awaitPeers[T any](viaPeer <-chan outcome[T], wait time.Duration) (out outcome[T], ok bool) {
+	hedge := time.NewTimer(wait + hedgeDelay)
+	defer hedge.Stop()
+	select {
+	case out = <-viaPeer:
+		return out, true
+	case <-hedge.C:
+		return out, false
+	}
+}
+
 // awaitDirect waits for the outcome of a direct call. Ok is false if peers should be called as
 // well: nothing has arrived for hedgeDelay, or the store was found not to answer this host
 // (degraded was closed) before any part of the answer arrived.
