A host asks others for a newer configuration than the store shows (CONFIG)

Callers could see: a host that was restarted goes back to an older configuration than it had shown; a change is not in force in time on a host whose reads of the store are behind.

Cause: the first read of a process takes the newest record as it is answered. A store whose reads are seconds behind answers with an older one, and no host asked another; nor did a running host learn that others act on a newer version.

Change: heartbeats between the hosts and the holders carry the newest version known (additional fields of the JSON messages).

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -158,6 +158,17 @@
 	return cores, a.loaded
 }
 
+// Addresses returns the addresses of all hosts that have been announced, in no particular order.
+func (a *Announcer) Addresses() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make([]string, 0, len(a.hosts))
+	for _, h := range a.hosts {
+		out = append(out, h.Address)
+	}
+	return out
+}
+
 // CoresOf returns the number of cores of the host at an address, or zero if it is unknown.
 func (a *Announcer) CoresOf(address string) float64 {
 	a.mu.Lock()
--- a/internal/carrier/host.go
+++ b/internal/carrier/host.go
@@ -41,6 +41,18 @@
 	Refresh(ctx context.Context)
 }
 
+// configVersions exchanges versions of the configuration with another host.
+type configVersions struct {
+	// known returns the newest version that this host knows of.
+	known func() identifier.ConfigVersion
+	// observe receives the newest version that another host knows of.
+	observe func(identifier.ConfigVersion)
+}
+
+func noConfigVersions() configVersions {
+	return configVersions{func() identifier.ConfigVersion { return 0 }, func(identifier.ConfigVersion) {}}
+}
+
 // Host offers this host to the holders of cells, and makes the calls to workers that they
 // order.
 type Host struct {
@@ -50,6 +62,7 @@
 	logger       *zap.Logger
 	uptime       func() time.Duration
 	observeClock func(identifier.Cell, renewer.ClockReading)
+	versions     configVersions
 }
 
 // HostOption configures a Host.
@@ -65,9 +78,15 @@
 	return func(h *Host) { h.observeClock = observe }
 }
 
+// WithHostConfigVersions sets a function that returns the newest version of the configuration that this
+// host knows of, which its heartbeats tell the holders, and one that receives those of the holders.
+func WithHostConfigVersions(known func() identifier.ConfigVersion, observe func(identifier.ConfigVersion)) HostOption {
+	return func(h *Host) { h.versions = configVersions{known, observe} }
+}
+
 // NewHost returns a host that makes calls with runner once Run is called.
 func NewHost(o Offer, runner connector.Runner, l Locator, log *zap.Logger, opts ...HostOption) *Host {
-	h := &Host{offer: o, runner: runner, locator: l, logger: log, uptime: uptimer.SinceBoot, observeClock: func(identifier.Cell, renewer.ClockReading) {}}
+	h := &Host{offer: o, runner: runner, locator: l, logger: log, uptime: uptimer.SinceBoot, observeClock: func(identifier.Cell, renewer.ClockReading) {}, versions: noConfigVersions()}
 	for _, opt := range opts {
 		opt(h)
 	}
@@ -182,6 +201,7 @@
 		if err != nil {
 			return err
 		}
+		hb.ConfigVersion = s.host.versions.known()
 		if err := s.sendHeartbeat(ctx, peer, hb); err != nil {
 			return err
 		}
@@ -200,6 +220,7 @@
 	for cell, r := range resp.Clocks {
 		s.host.observeClock(cell, r)
 	}
+	s.host.versions.observe(resp.ConfigVersion)
 	return nil
 }
 
--- a/internal/carrier/pool.go
+++ b/internal/carrier/pool.go
@@ -65,6 +65,7 @@
 	uptime           func() time.Duration
 	compress         bool
 	cellClocks       func() map[identifier.Cell]renewer.ClockReading
+	versions         configVersions
 
 	mu       sync.Mutex
 	open     bool
@@ -88,13 +89,19 @@
 	return func(p *Pool) { p.cellClocks = clocks }
 }
 
+// WithConfigVersions sets a function that returns the newest version of the configuration that this
+// host knows of, which heartbeat responses pass on, and one that receives those of the hosts.
+func WithConfigVersions(known func() identifier.ConfigVersion, observe func(identifier.ConfigVersion)) PoolOption {
+	return func(p *Pool) { p.versions = configVersions{known, observe} }
+}
+
 // NewPool returns a closed pool. It makes calls with localRunner while there are at most
 // maxDirectWorkers workers, or no hosts.
 func NewPool(localRunner connector.Runner, maxDirectWorkers int, log *zap.Logger, opts ...PoolOption) *Pool {
 	p := &Pool{
 		localRunner: localRunner, maxDirectWorkers: maxDirectWorkers, logger: log, uptime: uptimer.SinceBoot,
-		cellClocks: func() map[identifier.Cell]renewer.ClockReading { return nil },
-		assigner:   newAssigner[messenger.Peer](), sessions: map[messenger.Peer]*hostSession{},
+		cellClocks: func() map[identifier.Cell]renewer.ClockReading { return nil }, versions: noConfigVersions(),
+		assigner: newAssigner[messenger.Peer](), sessions: map[messenger.Peer]*hostSession{},
 	}
 	for _, o := range opts {
 		o(p)
@@ -304,7 +311,8 @@
 		return heartbeatResponse{}, refuser.New(refuser.CodeInvalid, "%v", err)
 	}
 	s.receiveReplies(replies)
-	return heartbeatResponse{Clocks: p.cellClocks()}, nil
+	p.versions.observe(in.ConfigVersion)
+	return heartbeatResponse{Clocks: p.cellClocks(), ConfigVersion: p.versions.known()}, nil
 }
 
 // sendInterval returns the minimum time between two batches from or to a host.
--- a/internal/carrier/wire.go
+++ b/internal/carrier/wire.go
@@ -42,12 +42,16 @@
 type heartbeat struct {
 	SentAt  time.Duration `json:"sentAt"`
 	Content []byte        `json:"content"`
+	// ConfigVersion is the newest version of the configuration that the host knows of.
+	ConfigVersion identifier.ConfigVersion `json:"configVersion,omitempty"`
 }
 
 // heartbeatResponse is the result of a heartbeat. Holders of older versions return no result.
 type heartbeatResponse struct {
 	// Clocks are the clock readings of the cells that the holder holds.
 	Clocks map[identifier.Cell]renewer.ClockReading `json:"clocks,omitempty"`
+	// ConfigVersion is the newest version of the configuration that the holder knows of.
+	ConfigVersion identifier.ConfigVersion `json:"configVersion,omitempty"`
 }
 
 // batch is the envelope of orders or replies on the wire. SentAt is the sender's uptime, from
--- a/internal/dialer/directory.go
+++ b/internal/dialer/directory.go
@@ -55,6 +55,11 @@
 	d.current.Expected = max(d.current.Expected, version)
 }
 
+// ConfigRecord implements supervisor.Directory; the platform hands out no records.
+func (d *Directory) ConfigRecord() (identifier.ConfigVersion, []byte) {
+	return d.Current().Version, nil
+}
+
 // WatchWorkers does nothing, since the workers are part of every read.
 func (*Directory) WatchWorkers() (stop func()) { return func() {} }
 
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -37,6 +37,7 @@
 	MethodJobExplain    Method = "jobExplain"
 	MethodJobList       Method = "jobList"
 	MethodCellClock     Method = "cellClock"
+	MethodConfig        Method = "config"
 )
 
 // The calls of scheduling hosts to a platform that speaks this project's own protocol. The calls of
--- a/internal/relayer/silent_test.go
+++ b/internal/relayer/silent_test.go
@@ -29,7 +29,9 @@
 	const readWait, configApply = 800 * time.Millisecond, 2 * time.Second
 	tests := map[string]func(t *testing.T, store *simulator.Store) []string{
 		"both silent": func(t *testing.T, _ *simulator.Store) []string { return []string{silentPeer(t), silentPeer(t)} },
-		"one silent":  func(t *testing.T, store *simulator.Store) []string { return []string{silentPeer(t), servePeer(t, store, "p")} },
+		"one silent": func(t *testing.T, store *simulator.Store) []string {
+			return []string{silentPeer(t), servePeer(t, store, "p")}
+		},
 		"none silent": func(t *testing.T, store *simulator.Store) []string {
 			return []string{servePeer(t, store, "p"), servePeer(t, store, "q")}
 		},
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -40,6 +40,8 @@
 	// Expect states that another host acts on a version of the configuration, which is read at once if
 	// it is newer than the current one.
 	Expect(version identifier.ConfigVersion)
+	// ConfigRecord returns the version of the configuration in force and its record, nil if it has none.
+	ConfigRecord() (version identifier.ConfigVersion, record []byte)
 	// WatchWorkers makes the directory follow the list of workers until stop is called.
 	WatchWorkers() (stop func())
 }
@@ -141,10 +143,11 @@
 		settings: s, store: store, directory: directory, logger: logger, plannerLog: plannerLog,
 		rpc: messenger.NewClient(messenger.WithCloseOnTimeout()), terms: map[identifier.Cell]*runningTerm{},
 	}
-	sup.pool = carrier.NewPool(runner, s.MaxWorkers, logger, carrier.WithCompression(s.linkLimited()), carrier.WithCellClocks(sup.cellClocks))
+	sup.pool = carrier.NewPool(runner, s.MaxWorkers, logger, carrier.WithCompression(s.linkLimited()), carrier.WithCellClocks(sup.cellClocks),
+		carrier.WithConfigVersions(sup.configVersion, directory.Expect))
 	sup.locator = intake.NewLocator(store, s.PeerAddress, s.Cells, logger)
 	sup.carrier = carrier.NewHost(carrier.Offer{Name: s.Name, DataCentre: s.DataCentre, MaxWorkers: s.MaxWorkers}, runner, sup.locator, logger,
-		carrier.WithClockObserver(sup.observeClock))
+		carrier.WithClockObserver(sup.observeClock), carrier.WithHostConfigVersions(sup.configVersion, directory.Expect))
 	store.SetPeers(sup.locator.Peers)
 	sup.announcer = announcer.New(s.Name, announcer.Announcement{Address: s.PeerAddress, Cores: s.Cores}, store, logger)
 	hostEligibility := &eligibility{
@@ -221,7 +224,7 @@
 
 // handle answers the calls of other hosts: store calls that a host relays because it does not
 // reach the store itself, messages of hosts that call workers on behalf of this one, requests for
-// the clock of a cell, and all calls of the intake.
+// the clock of a cell or for the configuration, and all calls of the intake.
 func (s *Supervisor) handle(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
 	if out, ok, err := relayer.Serve(ctx, s.store.Direct(), method, params); ok {
 		return out, err
@@ -232,6 +235,9 @@
 	if method == messenger.MethodCellClock {
 		return s.handleClock(params)
 	}
+	if method == messenger.MethodConfig {
+		return s.handleConfig(params)
+	}
 	return s.intake.Handle(ctx, method, params)
 }
 
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,6 +39,8 @@
 type directory struct {
 	fleet   *simulator.Fleet
 	changed func(connector.Directory)
+	// version is the version of the configuration whose record other hosts may ask for.
+	version atomic.Uint64
 }
 
 func (d *directory) Current() connector.Directory {
@@ -58,6 +61,10 @@
 
 func (d *directory) Expect(identifier.ConfigVersion) {}
 
+func (d *directory) ConfigRecord() (identifier.ConfigVersion, []byte) {
+	return identifier.ConfigVersion(d.version.Load()), []byte("record")
+}
+
 func (d *directory) WatchWorkers() func() { return func() {} }
 
 // host is a running scheduling host.
