--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -56,7 +56,9 @@
 	// on in search of a snapshot and applies no records.
 	hasState bool
 	// next is the offset of the next record to read.
-	next       identifier.Offset
+	next identifier.Offset
+	// shown is the offset up to which fsm held the state before hasState was last unset.
+	shown      identifier.Offset
 	caughtUpAt time.Time
 	fatalErr   error
 	waiters    map[identifier.RecordID]chan any
@@ -170,7 +172,7 @@
 func (f *Follower) LoadState(next identifier.Offset, state []byte) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.hasState && f.next >= next {
+	if f.hasState && f.next >= next || next < f.shown {
 		return nil
 	}
 	if err := f.fsm.Unmarshal(state); err != nil {
@@ -215,6 +217,9 @@
 func (f *Follower) rewind(bounds connector.Bounds) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.hasState {
+		f.shown = f.next
+	}
 	f.hasState = false
 	f.next = bounds.Earliest
 	return nil
@@ -295,7 +300,7 @@
 		return false
 	}
 	f.snapshotNext, f.snapshotAt = s.Next, time.UnixMilli(s.AtUnixMs)
-	if f.hasState || s.Next < bounds.Earliest {
+	if f.hasState || s.Next < bounds.Earliest || s.Next < f.shown {
 		return false
 	}
 	if err := f.fsm.Unmarshal(s.State); err != nil {
