The soak checks which configuration the hosts have in force

Nothing looked at configurations from the callers' side: the soak had one version for the whole run.

--- a/internal/auditor/check.go
+++ b/internal/auditor/check.go
@@ -79,6 +79,8 @@
 	"processes":  findWrongExits,
 	"settled":    findUnsettledJobs,
 	"lastingRun": findStoppedLongRunning,
+	"config":     findConfigRegressions,
+	"inForce":    findLateConfigs,
 }
 
 // Check runs all checks and returns the violations, ordered by check.
--- a/internal/auditor/history.go
+++ b/internal/auditor/history.go
@@ -56,6 +56,20 @@
 	Ended      time.Time             `json:"ended"`
 }
 
+// Publication is a version of the configuration and the time of its acknowledgement.
+type Publication struct {
+	Version identifier.ConfigVersion `json:"version"`
+	Acked   time.Time                `json:"acked"`
+}
+
+// ConfigAnswer is the version of the configuration that a host said to be in force.
+type ConfigAnswer struct {
+	Host     int                      `json:"host"`
+	Sent     time.Time                `json:"sent"`
+	Answered time.Time                `json:"answered"`
+	Version  identifier.ConfigVersion `json:"version"`
+}
+
 // Stall is a period in which the machine did not run the soak itself, so that no caller could send
 // or receive.
 type Stall struct {
@@ -75,6 +89,9 @@
 	Exits       []Exit               `json:"exits"`
 	Evacuations []Evacuation         `json:"evacuations"`
 	Stalls      []Stall              `json:"stalls"`
+
+	Publications  []Publication  `json:"publications,omitempty"`
+	ConfigAnswers []ConfigAnswer `json:"configAnswers,omitempty"`
 }
 
 // jobIndex is a history with its calls and events grouped by job.
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -54,6 +54,7 @@
 func (s *Server) Register(h *server.Hertz) {
 	h.POST("/v1/jobs", s.handler(s.submit))
 	h.GET("/v1/jobs", s.handler(s.list))
+	h.GET("/v1/directory", s.handler(s.config))
 	h.GET("/v1/jobs/:id", s.handler(s.report))
 	h.GET("/v1/jobs/:id/explain", s.handler(s.explain))
 	h.POST("/v1/jobs/:id/cancel", s.handler(s.cancel))
@@ -110,6 +111,15 @@
 	return s.jobs.Submit(ctx, intake.Submission{Job: job, Queue: queue, ConfigVersion: directory.Version, At: identifier.UnixMillis(time.Now().UnixMilli())})
 }
 
+// config returns which configuration is in force on this host.
+func (s *Server) config(context.Context, *app.RequestContext) (any, error) {
+	d := s.directory()
+	if d.Version == 0 {
+		return nil, refuser.New(refuser.CodeNotReady, "there is no configuration yet").WithRetryAfter(notReadyRetryAfter)
+	}
+	return submitter.ConfigReport{Version: d.Version, Expected: d.Expected, AgeMillis: time.Since(d.ConfigReadAt).Milliseconds(), Queues: len(d.Queues)}, nil
+}
+
 // acceptedResponse is the response to a submission or cancellation that has been stored.
 type acceptedResponse struct {
 	ID identifier.Job `json:"id"`
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -55,6 +55,7 @@
 	MethodPace      Method = "pace"
 	MethodDirectory Method = "directory"
 	MethodEvacuate  Method = "evacuate"
+	MethodPublish   Method = "publish"
 	MethodVerify    Method = "verify"
 	MethodFaults    Method = "faults"
 )
--- a/internal/simulator/server.go
+++ b/internal/simulator/server.go
@@ -93,6 +93,8 @@
 		return s.currentDirectory(), nil
 	case messenger.MethodEvacuate:
 		return decodeAndCall(params, s.evacuate)
+	case messenger.MethodPublish:
+		return s.publish(), nil
 	case messenger.MethodVerify:
 		return decodeAndCall(params, func(c VerifyCall) (Verdict, error) {
 			return Verdict{s.fleet.Starts(), s.fleet.Breaches(), s.fleet.Events(c.From, maxEvents)}, nil
@@ -155,6 +157,15 @@
 	return s.currentDirectory(), nil
 }
 
+// publish puts the next version of the configuration, which differs in nothing else, into force. It
+// returns that version.
+func (s *Server) publish() identifier.ConfigVersion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.directory.Version++
+	return s.directory.Version
+}
+
 func (s *Server) setFaults(c FaultsCall) (struct{}, error) {
 	s.store.SetFaults(c.Store)
 	for _, topic := range c.ExpireTopics {
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -120,6 +120,10 @@
 	var all sync.WaitGroup
 	r.history.Began = time.Now()
 	g.Go(func() error { return r.recordStalls(ctx) })
+	all.Go(func() { r.publishConfigs(callers) })
+	for h := range r.Hosts {
+		all.Go(func() { r.probeConfig(callers, h) })
+	}
 	for n, e := range r.plan.Jobs {
 		all.Go(func() {
 			sleeper.Pause(callers, time.Until(r.history.Began.Add(e.At)))
@@ -392,6 +396,7 @@
 	defer r.mu.Unlock()
 	h := r.history
 	h.Calls, h.Stalls = slices.Clone(h.Calls), slices.Clone(h.Stalls)
+	h.Publications, h.ConfigAnswers = slices.Clone(h.Publications), slices.Clone(h.ConfigAnswers)
 	return h
 }
 
--- a/pkg/client/job.go
+++ b/pkg/client/job.go
@@ -41,4 +41,9 @@
 	return callJSON[Accepted](ctx, c, consts.MethodPost, jobPath(id)+"/cancel", struct{}{})
 }
 
+// JobConfig returns which configuration is in force on a scheduling host.
+func (c *Client) JobConfig(ctx context.Context) (submitter.ConfigReport, error) {
+	return callJSON[submitter.ConfigReport](ctx, c, consts.MethodGet, "/v1/directory", nil)
+}
+
 func jobPath(id identifier.Job) string { return "/v1/jobs/" + url.PathEscape(string(id)) }
--- a/pkg/submitter/report.go
+++ b/pkg/submitter/report.go
@@ -52,3 +52,15 @@
 	Queue identifier.Queue `json:"queue,omitempty"`
 	State string           `json:"state,omitempty"`
 }
+
+// ConfigReport is what a host knows of the operators' configuration.
+type ConfigReport struct {
+	// Version is the version in force on the host.
+	Version identifier.ConfigVersion `json:"version"`
+	// Expected is the newest version that another host is known to act on.
+	Expected identifier.ConfigVersion `json:"expected,omitempty"`
+	// AgeMillis is the time in milliseconds since the start of the last complete read.
+	AgeMillis int64 `json:"ageMs"`
+	// Queues is the number of queues.
+	Queues int `json:"queues"`
+}
