--- a/internal/supervisor/config.go
+++ b/internal/supervisor/config.go
@@ -34,6 +34,8 @@
 type configResponse struct {
 	Version identifier.ConfigVersion `json:"version"`
 	Record  []byte                   `json:"record,omitempty"`
+	// host is the address of the host, set by the receiver.
+	host string
 }
 
 // handleConfig answers a configRequest.
@@ -50,9 +52,9 @@
 	return out, nil
 }
 
-// NewerConfig returns the record of the newest configuration of other hosts, or nil if none of those
-// that answer has a newer one than a version.
-func (s *Supervisor) NewerConfig(ctx context.Context, version identifier.ConfigVersion) []byte {
+// NewerConfig returns the record of the newest configuration of other hosts, and the address of the
+// host that has it, or no record if none of those that answer has a newer one than a version.
+func (s *Supervisor) NewerConfig(ctx context.Context, version identifier.ConfigVersion) (record []byte, host string) {
 	ctx, cancel := context.WithTimeout(ctx, configTimeout)
 	defer cancel()
 	if s.locator.LastLookup().IsZero() {
@@ -68,6 +70,7 @@
 				s.logger.Debug("host not asked for its configuration", zap.String("peer", peer), logger.Err(err))
 				out = configResponse{}
 			}
+			out.host = peer
 			answers <- out
 		}()
 	}
@@ -77,7 +80,7 @@
 			newest = a
 		}
 	}
-	return newest.Record
+	return newest.Record, newest.host
 }
 
 // awaitHosts waits until other hosts are known, or all announcements of hosts have been read: this
--- a/internal/supervisor/config_test.go
+++ b/internal/supervisor/config_test.go
@@ -22,13 +22,14 @@
 	}
 	hosts[1].directory.(*directory).version.Store(5)
 	for version, want := range map[identifier.ConfigVersion]string{0: "record", 4: "record", 5: "", 6: ""} {
-		if got := string(hosts[0].NewerConfig(ctx, version)); got != want {
-			t.Errorf("record %q newer than version %d, want %q", got, version, want)
+		got, from := hosts[0].NewerConfig(ctx, version)
+		if string(got) != want || want != "" && from != hosts[1].settings.PeerAddress {
+			t.Errorf("record %q of %s newer than version %d, want %q of %s", got, from, version, want, hosts[1].settings.PeerAddress)
 		}
 	}
 	hosts[1].kill()
 	<-hosts[1].done
-	if got := hosts[0].NewerConfig(ctx, 4); got != nil {
+	if got, _ := hosts[0].NewerConfig(ctx, 4); got != nil {
 		t.Errorf("record %q although its host is gone", got)
 	}
 }
