A term's first directory without workers makes it wait, as before

Callers could see: later ends of jobs.

Cause: since the directory that a term begins with, whose workers have not been read, no longer replaces a newer one. The term placed tasks at once, on the few workers that had answered since its takeover.

Change: workers that have not been read replace previous ones again.

--- a/internal/connector/directory_test.go
+++ b/internal/connector/directory_test.go
@@ -7,6 +7,15 @@
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
 
+// TestUnreadWorkersReplaceEarlierOnes guards against a term that starts tasks on the few workers that have
+// answered right after its takeover: its first directory, whose workers have not been read, makes it wait.
+func TestUnreadWorkersReplaceEarlierOnes(t *testing.T) {
+	previous := Directory{Version: 2, WorkersReadAt: time.UnixMilli(5), Workers: map[identifier.Worker]WorkerEntry{"w": {}}}
+	if got := (Directory{Version: 2}).Newest(previous); !got.WorkersReadAt.IsZero() || len(got.Workers) > 0 {
+		t.Errorf("%+v, want no workers", got)
+	}
+}
+
 // TestOlderDirectoryReplacesNothingNewer guards against a term that goes back to the directory from
 // before its takeover.
 func TestOlderDirectoryReplacesNothingNewer(t *testing.T) {
--- a/internal/connector/runner.go
+++ b/internal/connector/runner.go
@@ -224,13 +224,14 @@
 func (d Directory) Outdated() bool { return d.Expected > d.Version }
 
 // Newest returns d with the configuration or the workers of previous where these were read later: the
-// directory that a term begins with may arrive after newer ones.
+// directory that a term begins with may arrive after newer ones. Workers that have not been read at
+// all replace previous ones, so that a new term starts nothing before the next read.
 func (d Directory) Newest(previous Directory) Directory {
 	if d.Version < previous.Version || d.ConfigReadAt.Before(previous.ConfigReadAt) {
 		d.Version, d.Queues, d.Services, d.Evacuated = previous.Version, previous.Queues, previous.Services, previous.Evacuated
 		d.ConfigReadAt = previous.ConfigReadAt
 	}
-	if d.WorkersReadAt.Before(previous.WorkersReadAt) {
+	if !d.WorkersReadAt.IsZero() && d.WorkersReadAt.Before(previous.WorkersReadAt) {
 		d.Workers, d.WorkersReadAt = previous.Workers, previous.WorkersReadAt
 	}
 	return d
