--- a/internal/connector/runner.go
+++ b/internal/connector/runner.go
@@ -220,6 +220,15 @@
 	Workers       map[identifier.Worker]WorkerEntry `json:"workers"`
 }
 
+// ConfigAge returns the time since the start of the last complete read of the configuration, zero
+// before the first.
+func (d Directory) ConfigAge() time.Duration {
+	if d.ConfigReadAt.IsZero() {
+		return 0
+	}
+	return time.Since(d.ConfigReadAt)
+}
+
 // Outdated reports whether another host acts on a newer configuration than this one.
 func (d Directory) Outdated() bool { return d.Expected > d.Version }
 
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -117,7 +117,7 @@
 	if d.Version == 0 {
 		return nil, refuser.New(refuser.CodeNotReady, "there is no configuration yet").WithRetryAfter(notReadyRetryAfter)
 	}
-	return submitter.ConfigReport{Version: d.Version, Expected: d.Expected, AgeMillis: time.Since(d.ConfigReadAt).Milliseconds(), Queues: len(d.Queues)}, nil
+	return submitter.ConfigReport{Version: d.Version, Expected: d.Expected, AgeMillis: d.ConfigAge().Milliseconds(), Queues: len(d.Queues)}, nil
 }
 
 // acceptedResponse is the response to a submission or cancellation that has been stored.
--- a/internal/supervisor/config.go
+++ b/internal/supervisor/config.go
@@ -61,7 +61,7 @@
 		s.locator.Refresh(ctx)
 	}
 	s.awaitHosts(ctx)
-	peers := s.configPeers()
+	peers := s.hostsToAsk()
 	answers := make(chan configResponse, len(peers))
 	for _, peer := range peers {
 		go func() {
@@ -88,7 +88,7 @@
 func (s *Supervisor) awaitHosts(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, configTimeout/2)
 	defer cancel()
-	for ctx.Err() == nil && len(s.configPeers()) == 0 {
+	for ctx.Err() == nil && len(s.hostsToAsk()) == 0 {
 		if _, loaded := s.announcer.LargestCores(); loaded {
 			return
 		}
@@ -96,8 +96,8 @@
 	}
 }
 
-// configPeers returns the addresses of other hosts, those that hold or have held a cell first.
-func (s *Supervisor) configPeers() []string {
+// hostsToAsk returns the addresses of other hosts, those that hold or have held a cell first.
+func (s *Supervisor) hostsToAsk() []string {
 	peers := s.locator.Peers()
 	for _, address := range s.announcer.Addresses() {
 		if address != s.settings.PeerAddress && !slices.Contains(peers, address) {
--- a/internal/supervisor/config_test.go
+++ b/internal/supervisor/config_test.go
@@ -14,7 +14,7 @@
 	_, _, hosts := newCluster(t)
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
-	for len(hosts[0].configPeers()) < len(hosts)-1 {
+	for len(hosts[0].hostsToAsk()) < len(hosts)-1 {
 		if ctx.Err() != nil {
 			t.Fatal("other hosts are not known")
 		}
