Tasks wait for the rack of their data as long as that pays

Cause: a task whose rack was full ran elsewhere at once, remoteFactor times as long, also where the rack had room again much sooner. Nothing read the remote factor.

Change: the planner forecasts in each pass when a rack has room, and keeps a task back while that is sooner than what the task saves there, with three limits (docs/design/near-places.md). In effect only where the settings name a factor and a step names a rack.

--- a/internal/planner/explainer.go
+++ b/internal/planner/explainer.go
@@ -103,6 +103,9 @@
 
 // explainTask counts the workers by the obstacle that keeps a task from them.
 func (p *Planner) explainTask(t *task) string {
+	if n := t.group.nearWaits; n > 0 {
+		return fmt.Sprintf("%d of them wait for rack %s, where they end sooner", n, t.group.step.DataRack)
+	}
 	d := p.demandOf(t, p.patience(t.group))
 	counts := map[obstacle]int{}
 	for _, w := range p.workers {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -91,6 +91,8 @@
 	waitLogged time.Time
 	// blamed are the workers that were blamed for a straggler of the step.
 	blamed map[identifier.Worker]struct{}
+	// nearWaits counts the ready tasks that waited for the rack of their data in the last pass.
+	nearWaits int
 	// failedGangRuns counts the failed runs of all members of a gang.
 	failedGangRuns int
 }
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -11,6 +11,7 @@
 // placeTasks claims workers for ready tasks, job by job in the order of service, see servedBefore.
 // It places nothing while the directory is stale, and stops at the limit of unsent claims.
 func (p *Planner) placeTasks() {
+	p.nearWaits = 0
 	if len(p.waiting) == 0 {
 		return
 	}
@@ -44,6 +45,7 @@
 // placeGroup claims workers for the ready tasks of a group. Tasks with the same demand share a set
 // of candidates.
 func (p *Planner) placeGroup(g *taskGroup, cache *placementCache) {
+	g.nearWaits = 0
 	if g.readyTasks == 0 {
 		return
 	}
@@ -76,7 +78,13 @@
 		if set == nil || set.demand != lastDemand {
 			set = p.newCandidateSet(t, lastDemand)
 		}
-		p.claimIfFound(t, p.bestCandidate(t, set), lastDemand, cache)
+		w := p.bestCandidate(t, set)
+		if w != nil && p.waitsForDataRack(t, w) {
+			g.nearWaits++
+			p.nearWaits++
+			continue
+		}
+		p.claimIfFound(t, w, lastDemand, cache)
 	}
 }
 
@@ -117,6 +125,7 @@
 // beginPass prepares the placement cache for a pass and returns it.
 func (p *Planner) beginPass() *placementCache {
 	p.shortages.beginPass()
+	clear(p.rackForecasts)
 	cache := &p.placementCache
 	if cache.noFit == nil {
 		cache.noFit = map[demand][]noFitEntry{}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -47,6 +47,9 @@
 	MaxDirectoryAge time.Duration
 	// Retention is how long ended jobs are remembered; if it is zero, they are never forgotten.
 	Retention time.Duration
+	// RemoteFactor is how many times as long a task takes away from its data. Up to 1, tasks never
+	// wait for the rack of their data.
+	RemoteFactor float64
 }
 
 // InheritedLease returns how long runs of the previous holder may go on after it last reached the
@@ -115,6 +118,10 @@
 	contention map[identifier.Service]contention
 	// shortages are the sizes of tasks that run to completion for which there was no room.
 	shortages shortages
+	// rackForecasts are the forecasts made in this pass, and nearWaits counts the tasks that wait for
+	// the rack of their data.
+	rackForecasts map[rackDemand]*rackForecast
+	nearWaits     int
 
 	// pendingAdvice counts the requests to the adviser that are in flight.
 	pendingAdvice int
@@ -194,6 +201,7 @@
 		servingIndex:  map[identifier.Image]int{},
 		pairEstimates: map[identifier.Image][]pairEstimate{},
 		contention:    map[identifier.Service]contention{},
+		rackForecasts: map[rackDemand]*rackForecast{},
 		orderWindow:   limiter.NewWindow(),
 		stops:         stopQueue{sent: map[workerRun]time.Time{}},
 	}
--- a/internal/planner/query.go
+++ b/internal/planner/query.go
@@ -35,9 +35,11 @@
 
 // Stats is a snapshot of the planner's state for metrics.
 type Stats struct {
-	Jobs          int
-	ActiveJobs    int
-	ReadyTasks    int
+	Jobs       int
+	ActiveJobs int
+	ReadyTasks int
+	// NearWaits are the ready tasks that wait for the rack of their data although others have room.
+	NearWaits     int
 	Runs          int
 	Workers       int
 	UsableWorkers int
@@ -71,7 +73,7 @@
 // Stats returns the current counts.
 func (p *Planner) Stats() Stats {
 	s := Stats{
-		Jobs: len(p.jobs), Workers: len(p.workers),
+		Jobs: len(p.jobs), Workers: len(p.workers), NearWaits: p.nearWaits,
 		Starts: p.counts.starts, StartsLate: p.counts.startsLate, Polls: p.counts.polls, ListedRuns: p.counts.listedRuns,
 		OrdersUnderWay: p.orderWindow.InFlight(), OrdersLimit: p.orderWindow.Limit(), UnsentClaims: p.unsentClaims, HeldClaims: len(p.heldClaims), HeldStops: len(p.stops.queued),
 		OverdueRuns: p.overdue.runs, SilentWorkers: p.overdue.workers,
--- a/internal/planner/shortage_test.go
+++ b/internal/planner/shortage_test.go
@@ -41,6 +41,8 @@
 	dueTicks, activeTicks int
 	// waitingSince is since when a long-running job has waited beside room for it.
 	waitingSince map[*job]time.Time
+	// remoteFactor is how many times as long a task takes away from its data; zero counts as 1.
+	remoteFactor float64
 }
 
 // fleetWorker is a worker and what runs on it.
@@ -53,8 +55,9 @@
 }
 
 type fleetRun struct {
-	step   *submitter.Step
-	endsAt time.Time
+	step     *submitter.Step
+	duration time.Duration
+	endsAt   time.Time
 }
 
 // fleetJob is a submitted job and its outcome for the caller.
@@ -151,9 +154,12 @@
 func (f *fleet) startRun(c StartRun) {
 	w := f.workers[c.To.ID]
 	step := &f.byID[c.Order.Run.Task.Job].def.Steps[c.Order.Run.Task.Step]
-	r := &fleetRun{step: step}
+	r := &fleetRun{step: step, duration: step.Estimate.Std()}
+	if step.DataRack != "" && step.DataRack != w.entry.Rack {
+		r.duration = time.Duration(max(f.remoteFactor, 1) * float64(r.duration))
+	}
 	if !step.LongRunning {
-		r.endsAt = f.b.now.Add(step.Estimate.Std())
+		r.endsAt = f.b.now.Add(r.duration)
 	}
 	w.runs[c.Order.Run] = r
 	room := w.entry.Capacity
@@ -264,7 +270,7 @@
 	if r.endsAt.IsZero() {
 		return 100
 	}
-	return 100 - int(100*r.endsAt.Sub(now)/r.step.Estimate.Std())
+	return 100 - int(100*r.endsAt.Sub(now)/r.duration)
 }
 
 // recordResults records which jobs are completed to their callers, and counts the long-running
