--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -138,7 +138,7 @@
 		return ExitInvalid
 	case r.Code == refuser.CodeConflict || r.Code == refuser.CodeAlreadyEnded:
 		return ExitConflict
-	case r.Code == refuser.CodeNotFound:
+	case r.Code == refuser.CodeNotFound || r.Code == refuser.CodeUnauthenticated:
 		return ExitFailure
 	case r.Effect == refuser.Unknown:
 		return ExitUnknown
--- a/internal/connector/runner.go
+++ b/internal/connector/runner.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/balsamcove/balsamcove/internal/authenticator"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
 
@@ -204,18 +205,32 @@
 	RejectsOverload bool `json:"guards"`
 }
 
+// TeamConfig is the current configuration of a team that submits jobs.
+type TeamConfig struct {
+	// Weight is the team's share, relative to the weights of others, when there is no room for all.
+	Weight float64 `json:"weight"`
+	// Limit bounds the total size of the team's runs on all workers. A resource of zero has no limit.
+	Limit identifier.Size `json:"limit"`
+}
+
 // Directory is a snapshot of the platform's configuration and list of workers. It is immutable once
 // it has been handed out.
 type Directory struct {
 	Version identifier.ConfigVersion `json:"version"`
 	// Expected is the newest version of the configuration that another host is known to act on.
-	Expected  identifier.ConfigVersion             `json:"-"`
-	Queues    map[identifier.Queue]QueueConfig     `json:"queues"`
-	Services  map[identifier.Service]ServiceConfig `json:"services"`
-	Evacuated map[identifier.DataCentre]bool       `json:"evacuated"`
+	Expected identifier.ConfigVersion             `json:"-"`
+	Queues   map[identifier.Queue]QueueConfig     `json:"queues"`
+	Services map[identifier.Service]ServiceConfig `json:"services"`
+	// Teams are the teams with keys, limits and shares; nil if the configuration knows no teams.
+	Teams map[identifier.Team]TeamConfig `json:"teams,omitempty"`
+	// Keys are the keys by which callers prove that they belong to a team.
+	Keys      authenticator.Keys             `json:"-"`
+	Evacuated map[identifier.DataCentre]bool `json:"evacuated"`
 	// ConfigReadAt and WorkersReadAt are when the last complete reads of the configuration and of
 	// the list of workers started; the data is at least as recent.
-	ConfigReadAt  time.Time                         `json:"operatorSeen"`
+	ConfigReadAt time.Time `json:"operatorSeen"`
+	// ConfigTriedAt is when the last read of the configuration ended, whether it succeeded or not.
+	ConfigTriedAt time.Time                         `json:"-"`
 	WorkersReadAt time.Time                         `json:"workersSeen"`
 	Workers       map[identifier.Worker]WorkerEntry `json:"workers"`
 }
@@ -238,6 +253,7 @@
 func (d Directory) Newest(previous Directory) Directory {
 	if d.Version < previous.Version || d.ConfigReadAt.Before(previous.ConfigReadAt) {
 		d.Version, d.Queues, d.Services, d.Evacuated = previous.Version, previous.Queues, previous.Services, previous.Evacuated
+		d.Teams, d.Keys = previous.Teams, previous.Keys
 		d.ConfigReadAt = previous.ConfigReadAt
 	}
 	if !d.WorkersReadAt.IsZero() && d.WorkersReadAt.Before(previous.WorkersReadAt) {
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -404,7 +404,7 @@
 		switch {
 		case !ok:
 		case e.Submission != nil:
-			events = append(events, planner.JobSubmitted{Job: e.Submission.Job, Queue: e.Submission.Queue, Key: r.Key, At: e.Submission.At, ConfigVersion: e.Submission.ConfigVersion})
+			events = append(events, planner.JobSubmitted{Job: e.Submission.Job, Queue: e.Submission.Queue, Key: r.Key, At: e.Submission.At, ConfigVersion: e.Submission.ConfigVersion, Team: e.Submission.Team})
 			t.observeConfig(e.Submission.ConfigVersion)
 		case e.Cancellation != nil:
 			events = append(events, planner.JobCancelled{ID: e.Cancellation.ID, At: e.Cancellation.At})
--- a/internal/intake/record.go
+++ b/internal/intake/record.go
@@ -32,6 +32,8 @@
 	At    identifier.UnixMillis `cbor:"3,keyasint" json:"at"`
 
 	ConfigVersion identifier.ConfigVersion `cbor:"4,keyasint,omitempty" json:"configVersion,omitempty"`
+	// Team is the team that submits the job; empty if it is not known.
+	Team identifier.Team `cbor:"5,keyasint,omitempty" json:"team,omitempty"`
 }
 
 // Cancellation requests the end of a job.
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -50,7 +50,9 @@
 		return consts.StatusGatewayTimeout
 	case r.Code == refuser.CodeNotFound:
 		return consts.StatusNotFound
-	case r.Code == refuser.CodeInvalid:
+	case r.Code == refuser.CodeUnauthenticated:
+		return consts.StatusUnauthorized
+	case r.Code == refuser.CodeInvalid || r.Code == refuser.CodeNeverFits:
 		return consts.StatusBadRequest
 	case r.Code == refuser.CodeOverloaded:
 		return consts.StatusTooManyRequests
--- a/internal/planner/event.go
+++ b/internal/planner/event.go
@@ -26,6 +26,8 @@
 		At identifier.UnixMillis
 		// ConfigVersion is the version of the configuration that Queue is from; zero if unknown.
 		ConfigVersion identifier.ConfigVersion
+		// Team is the team that submitted the job; empty if it is not known.
+		Team identifier.Team
 	}
 	// JobCancelled brings a stored cancellation.
 	JobCancelled struct {
--- a/pkg/refuser/refuser.go
+++ b/pkg/refuser/refuser.go
@@ -44,6 +44,8 @@
 	CodeNeverFits    Code = "neverFits"
 	CodeAlreadyEnded Code = "alreadyEnded"
 	CodeUnsupported  Code = "unsupported"
+	// CodeUnauthenticated means that a request carries no key that is in force.
+	CodeUnauthenticated Code = "unauthenticated"
 )
 
 // Refusal is the error of a request or an operation that was not executed, or for which this is
