job preview tells where a job would run now, and why

Cause: operators asked for a command that explains where a job would go without sending it; job explain needs a submitted one.

Change: the holder's planner examines all workers for the first task of each step, as for a placement, and leaves its state as it is; holder, messenger, admin API (POST /v1/previews), client and command pass the answer on, as text or JSON. Candidates with their scores, the others by what rules them out, the jobs served before, the wait for the rack of the data. Only jobs; requests of the earlier interface are left out.

--- a/internal/commander/job.go
+++ b/internal/commander/job.go
@@ -18,6 +18,7 @@
 	Status  jobStatusCommand  `cmd:"" help:"Show a job."`
 	List    jobListCommand    `cmd:"" help:"List jobs."`
 	Explain jobExplainCommand `cmd:"" help:"Explain the state of a job."`
+	Preview jobPreviewCommand `cmd:"" help:"Tell where a job would run now, and why, without submitting it."`
 	Cancel  jobCancelCommand  `cmd:"" help:"Cancel jobs."`
 }
 
@@ -149,6 +150,59 @@
 	})
 }
 
+type jobPreviewCommand struct {
+	File string `arg:"" help:"Job file."`
+}
+
+// Run tells where the tasks of a job would run.
+func (c *jobPreviewCommand) Run(s *session) error {
+	job, err := readJob(c.File)
+	if err != nil {
+		return err
+	}
+	if job.ID == "" {
+		job.ID = identifier.Job(identifier.NewName("j-"))
+	}
+	if err := job.Check(); err != nil {
+		return err
+	}
+	cl, err := s.newClient()
+	if err != nil {
+		return err
+	}
+	out, err := cl.PreviewJob(s.ctx, job)
+	if err != nil {
+		return err
+	}
+	return s.print(out, func() { s.printPreview(out) })
+}
+
+func (s *session) printPreview(out submitter.Preview) {
+	s.printLine("queue %s: %d jobs that wait are served before", out.Queue, out.Ahead)
+	if out.Hold != "" {
+		s.printLine("nothing starts now: %s", out.Hold)
+	}
+	for i, st := range out.Steps {
+		s.printLine("step %d: %d tasks, %d workers would take one now", i, st.Tasks, st.CandidateCount)
+		if len(st.After) > 0 {
+			s.printLine("  it begins after steps %v", st.After)
+		}
+		if st.WaitMillis > 0 {
+			s.printLine("  it would wait %d ms for the rack of its data, where it ends sooner", st.WaitMillis)
+		}
+		var rows [][]any
+		for _, w := range st.Candidates {
+			rows = append(rows, []any{w.Worker, w.DataCentre, w.Rack, fmt.Sprintf("%.2f", w.Score)})
+		}
+		if len(rows) > 0 {
+			s.printTable([]any{"WORKER", columnDataCentre, "RACK", "SCORE"}, rows)
+		}
+		for _, r := range st.RuledOut {
+			s.printLine("  %d workers %s", r.Workers, r.Reason)
+		}
+	}
+}
+
 type jobCancelCommand struct {
 	Jobs []string `arg:"" help:"Jobs to cancel."`
 }
--- a/internal/commander/printer.go
+++ b/internal/commander/printer.go
@@ -9,6 +9,9 @@
 	"github.com/balsamcove/balsamcove/pkg/refuser"
 )
 
+// columnDataCentre heads the column of data centres.
+const columnDataCentre = "DATA CENTRE"
+
 const outputJSON = "json"
 
 // print writes value as JSON, or calls text to print it, as --output says.
--- a/internal/commander/task.go
+++ b/internal/commander/task.go
@@ -126,7 +126,7 @@
 }
 
 func taskHeader() []any {
-	return []any{"TASK", "POOL", "STATE", "OUTCOME", "ATTEMPT", "DATA CENTRE", "WORKER", "EVICTIONS", "FAILURES"}
+	return []any{"TASK", "POOL", "STATE", "OUTCOME", "ATTEMPT", columnDataCentre, "WORKER", "EVICTIONS", "FAILURES"}
 }
 
 func taskRow(t client.Task) []any {
@@ -152,7 +152,7 @@
 		for _, m := range st.Members {
 			rows = append(rows, []any{m.Entry, m.DataCentre, m.Address, m.Ready, m.Leaving})
 		}
-		s.printTable([]any{"MEMBER", "DATA CENTRE", "ADDRESS", "READY", "LEAVING"}, rows)
+		s.printTable([]any{"MEMBER", columnDataCentre, "ADDRESS", "READY", "LEAVING"}, rows)
 	})
 }
 
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -307,6 +307,16 @@
 	return queryJob(ctx, t, id, (*planner.Planner).Explain)
 }
 
+// Preview tells where the tasks of a job would run if it were submitted now, or ErrNotHolder.
+func (t *Term) Preview(job submitter.Job, queue connector.QueueConfig) (submitter.Preview, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.planner == nil || !t.unpaused() {
+		return submitter.Preview{}, ErrNotHolder
+	}
+	return t.planner.Preview(job, queue), nil
+}
+
 // List returns reports of the selected jobs, or ErrNotHolder.
 func (t *Term) List(s submitter.Selection) (submitter.Reports, error) {
 	t.mu.Lock()
--- a/internal/intake/report.go
+++ b/internal/intake/report.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 
+	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/messenger"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 	"github.com/balsamcove/balsamcove/pkg/refuser"
@@ -65,6 +66,37 @@
 	return all, nil
 }
 
+// previewRequest is the parameter of a query for where a job would run.
+type previewRequest struct {
+	Job   submitter.Job         `json:"job"`
+	Queue connector.QueueConfig `json:"queue"`
+}
+
+// Preview tells where the tasks of a job would run if it were submitted now. Nothing is stored. The
+// error is a *refuser.Refusal.
+func (s *Service) Preview(ctx context.Context, job submitter.Job, queue connector.QueueConfig) (submitter.Preview, error) {
+	var out submitter.Preview
+	err := s.queryHolder(ctx, identifier.CellOf(job.ID, s.cells), func(_ context.Context, h Holder) error {
+		var err error
+		out, err = h.Preview(job, queue)
+		return err
+	}, messenger.MethodJobPreview, previewRequest{job, queue}, &out)
+	return out, err
+}
+
+func (s *Service) handlePreview(params json.RawMessage) (any, error) {
+	var in previewRequest
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, refuser.New(refuser.CodeInvalid, "%v", err)
+	}
+	if err := in.Job.Check(); err != nil {
+		return nil, err
+	}
+	return answerLocally(s, identifier.CellOf(in.Job.ID, s.cells), func(h Holder) (submitter.Preview, error) {
+		return h.Preview(in.Job, in.Queue)
+	})
+}
+
 // handleJobQuery answers another host's query about one job.
 func handleJobQuery[T any](ctx context.Context, s *Service, params json.RawMessage, askLocal func(Holder, context.Context, identifier.Job) (T, bool, error)) (any, error) {
 	var in jobRequest
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -36,6 +36,7 @@
 	Report(ctx context.Context, id identifier.Job) (r submitter.Report, known bool, err error)
 	Explain(ctx context.Context, id identifier.Job) (e submitter.Explanation, known bool, err error)
 	List(ctx context.Context, s submitter.Selection) (submitter.Reports, error)
+	Preview(ctx context.Context, job submitter.Job, queue connector.QueueConfig) (submitter.Preview, error)
 }
 
 // Server handles the calls of the API.
@@ -54,6 +55,7 @@
 func (s *Server) Register(h *server.Hertz) {
 	h.POST("/v1/jobs", s.handler(s.submit))
 	h.GET("/v1/jobs", s.handler(s.list))
+	h.POST("/v1/previews", s.handler(s.preview))
 	h.GET("/v1/directory", s.handler(s.config))
 	h.GET("/v1/jobs/:id", s.handler(s.report))
 	h.GET("/v1/jobs/:id/explain", s.handler(s.explain))
@@ -79,36 +81,58 @@
 }
 
 func (s *Server) submit(ctx context.Context, c *app.RequestContext) (any, error) {
-	var job submitter.Job
-	if err := json.Unmarshal(c.Request.Body(), &job); err != nil {
-		return nil, refuser.New(refuser.CodeInvalid, "the body is no job: %v", err)
-	}
-	if err := job.Check(); err != nil {
+	job, queue, version, err := s.parseJob(c)
+	if err != nil {
 		return nil, err
 	}
-	if err := s.submitJob(ctx, job); err != nil {
-		r := refuser.From(err)
-		r.ID = string(job.ID)
-		return nil, r
+	err = s.jobs.Submit(ctx, intake.Submission{Job: job, Queue: queue, ConfigVersion: version, At: identifier.UnixMillis(time.Now().UnixMilli())})
+	if err != nil {
+		return nil, refusalOf(job.ID, err)
 	}
 	s.logger.Info("job accepted", zap.String("request", string(job.ID)), zap.String("queue", string(job.Queue)), zap.Int("tasks", job.Tasks()))
 	return acceptedResponse{ID: job.ID}, nil
 }
 
-// submitJob submits a job with the configuration of its queue that is in force.
-func (s *Server) submitJob(ctx context.Context, job submitter.Job) error {
-	directory := s.directory()
-	if directory.Version == 0 {
-		return refuser.New(refuser.CodeNotReady, "there is no configuration yet").WithRetryAfter(notReadyRetryAfter)
+// preview tells where the tasks of a job would run. Nothing is submitted.
+func (s *Server) preview(ctx context.Context, c *app.RequestContext) (any, error) {
+	job, queue, _, err := s.parseJob(c)
+	if err != nil {
+		return nil, err
 	}
-	queue, ok := directory.Queues[job.Queue]
-	if !ok && directory.Outdated() {
-		return refuser.New(refuser.CodeNotReady, "a newer configuration is being read").WithRetryAfter(notReadyRetryAfter)
+	out, err := s.jobs.Preview(ctx, job, queue)
+	if err != nil {
+		return nil, refusalOf(job.ID, err)
+	}
+	return out, nil
+}
+
+// refusalOf returns err as a refusal that names the job.
+func refusalOf(id identifier.Job, err error) *refuser.Refusal {
+	r := refuser.From(err)
+	r.ID = string(id)
+	return r
+}
+
+// parseJob decodes and checks the job in a request, and returns it with the configuration of its
+// queue that is in force and the version of that.
+func (s *Server) parseJob(c *app.RequestContext) (job submitter.Job, queue connector.QueueConfig, version identifier.ConfigVersion, err error) {
+	if err := json.Unmarshal(c.Request.Body(), &job); err != nil {
+		return job, queue, 0, refuser.New(refuser.CodeInvalid, "the body is no job: %v", err)
 	}
-	if !ok {
-		return refuser.New(refuser.CodeNotFound, "there is no queue %q", job.Queue)
+	if err := job.Check(); err != nil {
+		return job, queue, 0, err
+	}
+	directory := s.directory()
+	queue, ok := directory.Queues[job.Queue]
+	switch {
+	case directory.Version == 0:
+		return job, queue, 0, refusalOf(job.ID, refuser.New(refuser.CodeNotReady, "there is no configuration yet").WithRetryAfter(notReadyRetryAfter))
+	case !ok && directory.Outdated():
+		return job, queue, 0, refusalOf(job.ID, refuser.New(refuser.CodeNotReady, "a newer configuration is being read").WithRetryAfter(notReadyRetryAfter))
+	case !ok:
+		return job, queue, 0, refusalOf(job.ID, refuser.New(refuser.CodeNotFound, "there is no queue %q", job.Queue))
 	}
-	return s.jobs.Submit(ctx, intake.Submission{Job: job, Queue: queue, ConfigVersion: directory.Version, At: identifier.UnixMillis(time.Now().UnixMilli())})
+	return job, queue, directory.Version, nil
 }
 
 // config returns which configuration is in force on this host.
--- a/internal/jobserver/jobserver_test.go
+++ b/internal/jobserver/jobserver_test.go
@@ -46,6 +46,10 @@
 	return submitter.Reports{}, f.err
 }
 
+func (f *fakeJobs) Preview(_ context.Context, job submitter.Job, q connector.QueueConfig) (submitter.Preview, error) {
+	return submitter.Preview{Queue: q.Name, Steps: make([]submitter.StepPreview, len(job.Steps))}, f.err
+}
+
 // TestCalls checks the status and the body of the response to each call.
 func TestCalls(t *testing.T) {
 	const job = `{"id":"j1","queue":"bills","steps":[{"count":1,"size":{"processors":1000}}]}`
@@ -60,6 +64,9 @@
 		"malformed job":     {http.MethodPost, "/v1/jobs", "{", nil, 400, `"effect":"notRun"`},
 		"no steps":          {http.MethodPost, "/v1/jobs", `{"id":"j","queue":"bills"}`, nil, 400, "steps"},
 		"unknown queue":     {http.MethodPost, "/v1/jobs", strings.Replace(job, "bills", "none", 1), nil, 404, "none"},
+		"preview":           {http.MethodPost, "/v1/previews", job, nil, 200, `"candidates":null`},
+		"malformed preview": {http.MethodPost, "/v1/previews", "{", nil, 400, `"effect":"notRun"`},
+		"preview, no queue": {http.MethodPost, "/v1/previews", strings.Replace(job, "bills", "none", 1), nil, 404, `"id":"j1"`},
 		"unknown effect":    {http.MethodPost, "/v1/jobs", job, unknown, 504, `"effect":"unknown"`},
 		"too large":         {http.MethodPost, "/v1/jobs", strings.Repeat(" ", 2000) + job, nil, 413, "tooLarge"},
 		"report":            {http.MethodGet, "/v1/jobs/j1", "", nil, 200, `"state":"running"`},
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -36,6 +36,7 @@
 	MethodJobReport     Method = "jobReport"
 	MethodJobExplain    Method = "jobExplain"
 	MethodJobList       Method = "jobList"
+	MethodJobPreview    Method = "jobPreview"
 	MethodCellClock     Method = "cellClock"
 	MethodConfig        Method = "config"
 )
--- a/pkg/client/job.go
+++ b/pkg/client/job.go
@@ -36,6 +36,11 @@
 	return callJSON[submitter.Explanation](ctx, c, consts.MethodGet, jobPath(id)+"/explain", nil)
 }
 
+// PreviewJob tells where the tasks of a job would run if it were submitted now. Nothing is submitted.
+func (c *Client) PreviewJob(ctx context.Context, j submitter.Job) (submitter.Preview, error) {
+	return callJSON[submitter.Preview](ctx, c, consts.MethodPost, "/v1/previews", j)
+}
+
 // CancelJob requests the cancellation of a job.
 func (c *Client) CancelJob(ctx context.Context, id identifier.Job) (Accepted, error) {
 	return callJSON[Accepted](ctx, c, consts.MethodPost, jobPath(id)+"/cancel", struct{}{})
