Teams run no more than their quota

The team of a submission is stored with it and survives a takeover. Each planner keeps the usage of every team with each reserve and free, so claims, copies, runs of unknown outcome, restored runs and runs being stopped count until they are certainly gone. What a team's limit does not admit is not placed; a claim whose limit was lowered before its start is withdrawn. Running work is not stopped for a lowered limit. Cells take equal shares.

Ruled out: a check at submission alone (retries, copies and lost runs start later); counting scavengers without their processors (memory binds them about as early, so that it gains little).

--- a/internal/connector/runner.go
+++ b/internal/connector/runner.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/balsamcove/balsamcove/internal/authenticator"
@@ -213,6 +215,46 @@
 	Limit identifier.Size `json:"limit"`
 }
 
+// Share returns the share of the team's limit that each of a number of cells may use by itself.
+func (c TeamConfig) Share(cells int) identifier.Size {
+	return identifier.Size{
+		Processors: shareOf(c.Limit.Processors, cells), Memory: shareOf(c.Limit.Memory, cells), Accelerators: shareOf(c.Limit.Accelerators, cells),
+	}
+}
+
+// shareOf returns the part of a limit for one of n cells, which is not zero unless the limit is.
+func shareOf[N ~int64](limit N, n int) N {
+	if limit == 0 || n <= 1 {
+		return limit
+	}
+	return max(limit/N(n), 1)
+}
+
+// WithinLimit reports whether a size does not exceed a limit, of which resources of zero do not
+// apply.
+func WithinLimit(s, limit identifier.Size) bool {
+	return (limit.Processors == 0 || s.Processors <= limit.Processors) && (limit.Memory == 0 || s.Memory <= limit.Memory) &&
+		(limit.Accelerators == 0 || s.Accelerators <= limit.Accelerators)
+}
+
+// DescribeLimit formats a limit for messages.
+func DescribeLimit(limit identifier.Size) string {
+	var parts []string
+	if limit.Processors > 0 {
+		parts = append(parts, fmt.Sprintf("%d millicores", limit.Processors))
+	}
+	if limit.Memory > 0 {
+		parts = append(parts, fmt.Sprintf("%d MiB", limit.Memory))
+	}
+	if limit.Accelerators > 0 {
+		parts = append(parts, fmt.Sprintf("%d accelerators", limit.Accelerators))
+	}
+	if len(parts) == 0 {
+		return "any amount"
+	}
+	return "at most " + strings.Join(parts, ", ")
+}
+
 // Directory is a snapshot of the platform's configuration and list of workers. It is immutable once
 // it has been handed out.
 type Directory struct {
--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -138,6 +138,8 @@
 	switch o := p.workerObstacle(r.worker); {
 	case r.unwanted:
 		return "the run is not wanted any more"
+	case !r.task.group.step.Gang && exceedsQuota(r):
+		return r.task.group.job.team.explainQuota()
 	case o != obstacleNone:
 		return "such workers " + string(o)
 	default:
--- a/internal/planner/explainer.go
+++ b/internal/planner/explainer.go
@@ -80,6 +80,14 @@
 	return reasons
 }
 
+// placedTogether returns how many tasks of the step are only placed at once.
+func (g *taskGroup) placedTogether() int {
+	if g.step.Gang {
+		return len(g.tasks)
+	}
+	return 1
+}
+
 // firstReady returns the first task that waits for a worker, or nil.
 func (g *taskGroup) firstReady() *task {
 	for i := range g.tasks {
@@ -103,6 +111,9 @@
 
 // explainTask counts the workers by the obstacle that keeps a task from them.
 func (p *Planner) explainTask(t *task) string {
+	if g := t.group; !p.quotaAdmits(g.job, g.step.Size, g.placedTogether()) {
+		return g.job.team.explainQuota()
+	}
 	d := p.demandOf(t, p.patience(t.group))
 	counts := map[obstacle]int{}
 	for _, w := range p.workers {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -60,7 +60,7 @@
 		if t.phase != taskReady || p.now.Before(t.notBefore) {
 			continue
 		}
-		if p.claimLimitReached() {
+		if p.claimLimitReached() || !p.quotaAdmits(g.job, g.step.Size, 1) {
 			return
 		}
 		// While a demand stays the same, a lack of room for it lasts until the end of the pass.
@@ -437,7 +437,7 @@
 // placeGang claims workers for all tasks of a gang at once, or for none. All members continue with
 // the same attempt number and from the same checkpoint, the newest that any of them has saved.
 func (p *Planner) placeGang(g *taskGroup) {
-	if g.readyTasks < len(g.tasks) {
+	if g.readyTasks < len(g.tasks) || !p.quotaAdmits(g.job, g.step.Size, len(g.tasks)) {
 		return
 	}
 	attempt := identifier.Attempt(0)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -84,6 +84,7 @@
 	scheduled map[*job]struct{}
 	// waiting are the jobs with ready tasks.
 	waiting map[*job]struct{}
+	teams   teams
 	workers map[identifier.Worker]*worker
 	// workerList has all workers; nextWorker is where the next search for candidates begins.
 	workerList []*worker
@@ -181,6 +182,7 @@
 		cancelled:     map[identifier.Job]identifier.UnixMillis{},
 		scheduled:     map[*job]struct{}{},
 		waiting:       map[*job]struct{}{},
+		teams:         teams{byName: map[identifier.Team]*team{}},
 		workers:       map[identifier.Worker]*worker{},
 		unpolled:      map[*worker]struct{}{},
 		suspects:      map[*worker]struct{}{},
@@ -297,7 +299,7 @@
 	}
 	j := &job{
 		def: e.Job, queue: e.Queue, queueSubmitted: e.Queue.Name != "", submitted: p.now, occurrences: map[int][]*taskGroup{},
-		state: StateQueued, visibleState: StateQueued, key: e.Key, configVersion: e.ConfigVersion,
+		state: StateQueued, visibleState: StateQueued, key: e.Key, configVersion: e.ConfigVersion, team: p.teamOf(e.Team),
 	}
 	p.updateQueue(j)
 	j.setWaitStart(p.now)
--- a/internal/planner/straggler.go
+++ b/internal/planner/straggler.go
@@ -128,7 +128,7 @@
 // startSpeculativeCopy starts a second run of a straggler's task on another worker.
 func (p *Planner) startSpeculativeCopy(r *run) {
 	t := r.task
-	if len(t.runs) > 1 || !p.directoryFresh() || p.claimLimitReached() {
+	if len(t.runs) > 1 || !p.directoryFresh() || p.claimLimitReached() || !p.quotaAdmits(t.group.job, t.group.step.Size, 1) {
 		return
 	}
 	t.failedOn = r.worker.id
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -306,6 +306,7 @@
 	w.runs[r.id] = r
 	r.worker = w
 	w.adjustUsage(r, 1)
+	countUsage(r, 1)
 }
 
 // free removes a run from a worker and returns its size to the free capacity.
@@ -316,6 +317,7 @@
 	p.countImage(w, r.task.group.step, -1)
 	delete(w.runs, r.id)
 	w.adjustUsage(r, -1)
+	countUsage(r, -1)
 }
 
 // adjustUsage adds the size of a run to the worker's usage if sign is 1, and subtracts it if -1.
@@ -395,6 +397,7 @@
 func (p *Planner) updateDirectory(d connector.Directory) {
 	d = d.Newest(p.directory)
 	p.directory = d
+	p.updateTeams()
 	for _, j := range p.jobs {
 		p.updateQueue(j)
 	}
--- a/pkg/identifier/size.go
+++ b/pkg/identifier/size.go
@@ -45,6 +45,11 @@
 	return Size{s.Processors - o.Processors, s.Memory - o.Memory, s.Accelerators - o.Accelerators}
 }
 
+// Times returns n times s.
+func (s Size) Times(n int) Size {
+	return Size{s.Processors * Millicores(n), s.Memory * Mebibytes(n), s.Accelerators * Accelerators(n)}
+}
+
 // Max returns the larger amount of each resource in s and o.
 func (s Size) Max(o Size) Size {
 	return Size{max(s.Processors, o.Processors), max(s.Memory, o.Memory), max(s.Accelerators, o.Accelerators)}
