--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -16,6 +16,9 @@
 		id:   connector.RunID{Task: t.name(), Attempt: attempt},
 		task: t, size: t.group.step.Size, phase: runClaimed, pace: fullPace, startedAt: p.now,
 	}
+	if h := p.headrooms.byService[w.entry.Service]; h != nil && h.needed > 0 && r.task.group.step.Serves() {
+		h.free -= h.cost(w, r.size)
+	}
 	p.reserve(w, r)
 	p.leases.Resume(w.id)
 	p.addUnsentClaim(r)
--- a/internal/planner/explainer.go
+++ b/internal/planner/explainer.go
@@ -30,6 +30,7 @@
 	obstacleHarmful    obstacle = "run tasks that its image is known to harm"
 	obstacleRoom       obstacle = "have no room"
 	obstacleShortage   obstacle = "have room for which tasks that end wait"
+	obstacleHeadroom   obstacle = "have room that is kept for tasks that end"
 	obstacleLabel      obstacle = "lack the label"
 	obstacleSpread     obstacle = "run as many tasks of the step as are allowed"
 	obstacleAdvice     obstacle = "are ruled out by the adviser"
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -13,6 +13,7 @@
 func (p *Planner) placeTasks() {
 	p.nearWaits = 0
 	if len(p.waiting) == 0 {
+		p.noteDemand()
 		return
 	}
 	if !p.directoryFresh() {
@@ -20,6 +21,7 @@
 		return
 	}
 	cache := p.beginPass()
+	p.updateHeadrooms()
 	for _, j := range p.waitingJobsInOrder() {
 		if p.claimLimitReached() {
 			p.logWaits()
@@ -201,6 +203,9 @@
 	// restart is set for a serving or long-running task that has run before. It may use room that
 	// is kept free for others, so that its outage is short.
 	restart bool
+	// neglected is set for a serving task whose job has had nothing running for maxWithheld. No room
+	// is withheld from it.
+	neglected bool
 }
 
 // starvedAfter is how long a job of scavengers may have nothing running beside ample room while it
@@ -218,6 +223,7 @@
 func (p *Planner) demandOf(t *task, patience time.Duration) demand {
 	d := demand{service: t.group.job.queue.Service, kind: loadKindOf(t.group.step), longRunning: t.group.step.LongRunning}
 	d.restart = t.attempt > 0 && (d.longRunning || d.kind == loadServing)
+	d.neglected = d.kind == loadServing && t.group.job.runCount == 0 && p.now.Sub(t.readyAt) >= maxWithheld
 	if d.kind == loadScavenger {
 		waited := p.now.Sub(t.readyAt)
 		d.image = t.group.step.Image
@@ -306,20 +312,19 @@
 func (p *Planner) taskObstacle(t *task, w *worker, d demand) obstacle {
 	step := t.group.step
 	size := step.Size
-	switch {
-	case d.kind == loadScavenger:
+	if d.kind == loadScavenger {
 		if w.spareFor(d) < size.Processors {
 			return obstacleSpare
 		}
 		size.Processors = 0
-	case d.kind == loadServing && !d.restart:
-		size.Processors += identifier.Millicores(servingHeadroom * float64(w.entry.Capacity.Processors))
 	}
 	switch {
 	case !size.Fits(w.room()):
 		return obstacleRoom
 	case d.longRunning && !d.restart && p.shortages.withholds(t, w):
 		return obstacleShortage
+	case d.kind == loadServing && !d.restart && !d.neglected && p.withholdsFrom(w, step.Size):
+		return obstacleHeadroom
 	case step.Label != "" && !slices.Contains(w.entry.Labels, step.Label):
 		return obstacleLabel
 	case step.MaxPerWorker > 0 && p.groupRunsOn(t.group, w) >= step.MaxPerWorker:
@@ -360,10 +365,6 @@
 	return n
 }
 
-// servingHeadroom is the fraction of a worker's processors that serving tasks leave to tasks that
-// run to completion. A serving task that has run before may use it, so that its outage is short.
-const servingHeadroom = 0.06
-
 // The weights of a worker's score. The unit is all processors of the worker: a weight of 0.5 counts
 // as much as half of them being spare.
 const (
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -119,6 +119,7 @@
 	contention map[identifier.Service]contention
 	// shortages are the sizes of tasks that run to completion for which there was no room.
 	shortages shortages
+	headrooms headrooms
 	// rackForecasts are the forecasts made in this pass, and nearWaits counts the tasks that wait for
 	// the rack of their data.
 	rackForecasts map[rackDemand]*rackForecast
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -134,6 +134,9 @@
 	// serving counts the runs of serving tasks, and servingCPU is what they reserve.
 	serving    int
 	servingCPU identifier.Millicores
+	// plain counts the runs of plain tasks that run to completion, and plainCPU is what they reserve.
+	plain    int
+	plainCPU identifier.Millicores
 	// servingByImage and scavengersByImage count the runs of each image.
 	servingByImage    map[identifier.Image]int
 	scavengersByImage map[identifier.Image]int
@@ -333,6 +336,10 @@
 		w.serving += int(sign)
 		w.servingCPU += identifier.Millicores(sign) * size.Processors
 	}
+	if isPassing(r.task.group) {
+		w.plain += int(sign)
+		w.plainCPU += identifier.Millicores(sign) * size.Processors
+	}
 	if sign > 0 {
 		w.used = w.used.Add(size)
 		return
