One reading of time for a decision about leases

Ruled out as enough: taking the time after the decoding, since passes that add a worker and the renewal of pending leases read the two clocks apart as well.

Change: renewer.Reading holds a time and bounds of the uptime at that time; the planner takes it once for each pass, and the renewer's methods go by it. What must be over before a lease ends uses one bound, what waits for it the other. Two further gaps of the same wait, found by adding up both sides (docs/GUARANTEES.md): a lease was requested by a clock reading up to 1.5 s old as if that clock had kept time (30.6 ms too long at a rate of 0.98), and starts went out while the term was unconfirmed, which renewals did not.

--- a/internal/dispatcher/effect.go
+++ b/internal/dispatcher/effect.go
@@ -108,7 +108,7 @@
 
 // startRun orders a worker to start a run, unless this host may no longer act as the holder.
 func (t *Term) startRun(ctx context.Context, c planner.StartRun) {
-	if !t.valid() {
+	if !t.mayStart() {
 		t.notifyFailed(c, errors.Mark(errTermInvalid, connector.ErrNotSent))
 		return
 	}
@@ -122,7 +122,7 @@
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		// Time may have passed until the pool began this.
-		if !t.valid() {
+		if !t.mayStart() {
 			t.notifyFailed(c, errors.Mark(errTermInvalid, connector.ErrNotSent))
 			return
 		}
@@ -178,6 +178,10 @@
 	return allowed
 }
 
+// mayStart reports whether runs may be started. A start begins a lease, so that it needs the same
+// confirmation as a renewal.
+func (t *Term) mayStart() bool { return t.valid() && !t.unconfirmed() }
+
 // unconfirmed reports whether another host may have begun a term since the last successful append.
 func (t *Term) unconfirmed() bool { return t.tenure() != t.confirmedTenure.Load() }
 
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -61,16 +61,17 @@
 	if err != nil {
 		return err
 	}
+	health, jobs, estimates, events := t.decodeHealth(work), t.decodeJobs(work), t.decodeEstimates(work), t.inboxEvents(inbox)
+	// All clocks of the takeover derive from this reading. Decoding may take long, and comes before.
 	now := time.Now()
 	epoch := t.writer.Epoch
-	opts := []planner.Option{planner.WithLeases(leases, t.uptime, t.startClock.Load().uptime), planner.WithProfile(profiler.NewTimer(&t.stats.profile))}
+	opts := []planner.Option{planner.WithLeases(leases, t.readAt, t.startClock.Load().uptime), planner.WithProfile(profiler.NewTimer(&t.stats.profile))}
 	if t.decisions != nil {
 		opts = append(opts, planner.WithLog(t.decisions))
 	}
 	p := planner.New(epoch, now, t.settings.Planner, opts...)
-	p.Inform(now, t.inboxEvents(inbox)...)
-	p.Inform(now, planner.HealthRestored{Records: t.decodeHealth(work)}, planner.JobsRestored{Records: t.decodeJobs(work)},
-		planner.EstimatesRestored{Records: t.decodeEstimates(work)})
+	p.Inform(now, append(events, planner.HealthRestored{Records: health}, planner.JobsRestored{Records: jobs},
+		planner.EstimatesRestored{Records: estimates})...)
 	t.mu.Lock()
 	t.planner, t.inboxOffset = p, next
 	t.mu.Unlock()
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -213,6 +213,9 @@
 	uptime time.Duration
 }
 
+// readAt relates a time of the runtime's clock that has passed to the uptime.
+func (t *Term) readAt(now time.Time) renewer.Reading { return renewer.ReadAt(now, t.uptime) }
+
 // CellClock returns the current reading of the cell's clock, for other hosts to observe; ok is
 // false before the takeover is stored. It never waits for a pass of the planner.
 func (t *Term) CellClock() (r renewer.ClockReading, ok bool) {
--- a/internal/dispatcher/term_test.go
+++ b/internal/dispatcher/term_test.go
@@ -57,8 +57,10 @@
 	retention time.Duration
 	// maxLease is the longest lease that workers grant; zero stands for testLease.
 	maxLease time.Duration
-	stop     context.CancelFunc
-	ctx      context.Context
+	// decodeDelay is how long it takes a holder to decode a submission.
+	decodeDelay time.Duration
+	stop        context.CancelFunc
+	ctx         context.Context
 	// clocks are the readings of the cell's clock that the next holder has observed.
 	clocks    renewer.ClockTracker
 	startedAt time.Time
@@ -197,7 +199,7 @@
 			defer c.clocks.ObserveTakeover(0, id, c.uptime())
 			return c.clocks.Estimate(0, c.uptime())
 		}), WithUptime(c.uptime),
-		WithTenure(h.tenure.Load),
+		WithTenure(h.tenure.Load), WithConfigObserver(func(identifier.ConfigVersion) { time.Sleep(c.decodeDelay) }),
 		WithValidity(func() bool { return true }, func() time.Duration { return time.Since(time.Unix(0, h.lastSeen.Load())) }))
 }
 
--- a/internal/planner/health_test.go
+++ b/internal/planner/health_test.go
@@ -201,7 +201,9 @@
 	state := renewer.State{Clock: b.p.CellClock()}.BeginTerm(b.p.epoch+1, "", renewer.ClockEstimate{})
 	before := b.p
 	began := b.now
-	b.p = New(before.epoch+1, b.now, before.settings, WithLeases(state, func() time.Duration { return b.now.Sub(began) }, 0))
+	b.p = New(before.epoch+1, b.now, before.settings, WithLeases(state, func(now time.Time) renewer.Reading {
+		return renewer.Reading{Now: now, Earliest: now.Sub(began), Latest: now.Sub(began)}
+	}, 0))
 	for _, j := range before.jobs {
 		events = append(events, JobSubmitted{Job: j.def, Queue: j.queue}, JobsRestored{[]JobRecord{recordOf(j)}})
 	}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -102,8 +102,8 @@
 	case p.mayRenew(w):
 		until := p.leaseUntil(w)
 		return &until
-	case p.now.Before(p.leases.RenewableUntil(w.id, p.now)):
-		return p.leaseRenewalWithin(w, p.leases.RenewableUntil(w.id, p.now))
+	case p.now.Before(p.leases.RenewableUntil(w.id)):
+		return p.leaseRenewalWithin(w, p.leases.RenewableUntil(w.id))
 	case w.requestedLease > w.clock+connector.WorkerClock(p.now.Sub(w.clockAt)):
 		until := w.requestedLease
 		return &until
@@ -116,7 +116,7 @@
 // has to be over by end; nil if it would not extend it.
 func (p *Planner) leaseRenewalWithin(w *worker, end time.Time) *connector.WorkerClock {
 	elapsed := p.now.Sub(w.clockAt)
-	span := min(elapsed+p.settings.Lease, time.Duration(float64(end.Sub(w.clockAt))*(1-maxClockDrift)))
+	span := leastAdvance(min(elapsed+bySlowClock(p.settings.Lease), end.Sub(w.clockAt)))
 	if span <= elapsed {
 		return nil
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -60,12 +60,19 @@
 	return time.Duration(float64(d) / (1 - maxClockDrift))
 }
 
+// leastAdvance returns how far a worker's clock gets in a time at least.
+func leastAdvance(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - maxClockDrift))
+}
+
 // Planner holds the scheduling state of a cell. Its methods are not safe for concurrent use.
 type Planner struct {
 	settings Settings
 	log      Log
 	epoch    identifier.Epoch
-	now      time.Time
+	// now is the time of the present decision, and readAt relates it to the uptime, see setTime.
+	now    time.Time
+	readAt func(now time.Time) renewer.Reading
 	// wallClock is the clock by which scheduled jobs become due.
 	wallClock func() time.Time
 	profile   *profiler.Timer
@@ -159,10 +166,14 @@
 func WithTimeOfDay(now func() time.Time) Option { return func(p *Planner) { p.wallClock = now } }
 
 // WithLeases sets the lease state stored by earlier holders, with this term as the last, which
-// started at startUptime. By default all leases count as renewed until the term began. uptime has
-// to include the time for which the machine was suspended.
-func WithLeases(s renewer.State, uptime func() time.Duration, startUptime time.Duration) Option {
-	return func(p *Planner) { p.leases = renewer.New(p.now, uptime, startUptime, p.settings.InheritedLease, s) }
+// started at startUptime. By default all leases count as renewed until the term began. readAt relates
+// a time that the planner was given to the uptime, which has to include the time for which the
+// machine was suspended.
+func WithLeases(s renewer.State, readAt func(now time.Time) renewer.Reading, startUptime time.Duration) Option {
+	return func(p *Planner) {
+		p.readAt = readAt
+		p.leases = renewer.New(readAt(p.now), startUptime, p.settings.InheritedLease, s)
+	}
 }
 
 // WithProfile sets the timer that measures each phase of the planner's work.
@@ -201,15 +212,23 @@
 		o(p)
 	}
 	if p.leases == nil {
-		passed := func() time.Duration { return p.now.Sub(now) }
-		p.leases = renewer.New(now, passed, 0, s.InheritedLease, renewer.State{}.BeginTerm(epoch, "", renewer.ClockEstimate{}))
+		WithLeases(renewer.State{}.BeginTerm(epoch, "", renewer.ClockEstimate{}), func(at time.Time) renewer.Reading {
+			return renewer.Reading{Now: at, Earliest: at.Sub(now), Latest: at.Sub(now)}
+		}, 0)(p)
 	}
 	return p
 }
 
+// setTime begins a decision at a time of the holder's clock. It is the only read of the uptime for
+// that decision, so that no lease is judged by two clocks which were read apart.
+func (p *Planner) setTime(now time.Time) {
+	p.now = now
+	p.leases.SetTime(p.readAt(now))
+}
+
 // Inform records events. Update decides what follows from them.
 func (p *Planner) Inform(now time.Time, events ...Event) {
-	p.now = now
+	p.setTime(now)
 	clear(p.pairEstimates)
 	for _, e := range events {
 		p.profile.Enter(profilePhase(e))
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -181,7 +181,7 @@
 // leasesDirty reports whether changed leases have to be stored, or the cell's clock. The clock
 // matters only while a silent worker's lease has to expire before its tasks can run elsewhere.
 func (p *Planner) leasesDirty() bool {
-	return p.leases.Dirty() || p.leases.ClockDue(p.now) && p.awaitsLeaseExpiry()
+	return p.leases.Dirty() || p.leases.ClockDue() && p.awaitsLeaseExpiry()
 }
 
 // awaitsLeaseExpiry reports whether a worker that does not answer may have runs.
@@ -199,14 +199,14 @@
 	if !p.leasesDirty() {
 		return
 	}
-	records, clock := p.leases.Take(b.Number, p.now)
+	records, clock := p.leases.Take(b.Number)
 	b.Leases, b.Clock = records, &clock
 }
 
 // HandOver returns the last batch of a holder that will send no more orders. It stores when the
 // lease of each worker runs out, so that the next holder need not wait longer.
 func (p *Planner) HandOver(now time.Time) Batch {
-	p.now = now
+	p.setTime(now)
 	for _, w := range p.workerList {
 		p.suspendLease(w)
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -189,7 +189,7 @@
 	w, ok := p.workers[id]
 	if !ok {
 		w = &worker{
-			id: id, runs: map[connector.RunID]*run{}, leaseEnd: p.leases.InheritedExpiry(id, p.now), sequence: p.sequenceFloor + 1,
+			id: id, runs: map[connector.RunID]*run{}, leaseEnd: p.leases.InheritedExpiry(id), sequence: p.sequenceFloor + 1,
 			servingByImage: map[identifier.Image]int{}, scavengersByImage: map[identifier.Image]int{},
 			scavengerShares: estimator.Load{}, baselineSlacks: map[identifier.Image]estimator.Slack{}, slack: ampleSlack,
 		}
@@ -224,10 +224,11 @@
 	return p.reserveLease(w)
 }
 
-// reserveLease moves leaseEnd to the end of a lease that begins now, allowing for a worker clock that
-// runs slow, and returns that end by the worker's clock.
+// reserveLease moves leaseEnd to the end of a lease that begins now and returns that end by the worker's
+// clock. That clock may have run slow since its last reading; it is taken to have done so, since
+// successors wait for a lease from now on, however old the reading is.
 func (p *Planner) reserveLease(w *worker) connector.WorkerClock {
-	until := w.clock + connector.WorkerClock(p.now.Sub(w.clockAt)+p.settings.Lease)
+	until := w.clock + connector.WorkerClock(leastAdvance(p.now.Sub(w.clockAt))+p.settings.Lease)
 	w.leaseEnd = later(w.leaseEnd, w.clockAt.Add(bySlowClock(time.Duration(until-w.clock))))
 	w.requestedLease = max(w.requestedLease, until)
 	return until
@@ -280,7 +281,7 @@
 
 // silenceOf returns for how long a worker has not been heard from, by this holder or earlier ones.
 func (p *Planner) silenceOf(w *worker) renewer.Silence {
-	return p.leases.Silence(w.id, w.heardAt, p.now)
+	return p.leases.Silence(w.id, w.heardAt)
 }
 
 // sinceOrNever returns the time passed since at, or -1 if at is zero.
--- a/internal/renewer/renewer.go
+++ b/internal/renewer/renewer.go
@@ -169,13 +169,28 @@
 	extendedUntil time.Time
 }
 
+// Reading relates a time of the holder's own clock to the uptime, which includes the time for which
+// the machine was suspended. The two clocks cannot be read at once, so that the uptime is known by
+// bounds. Whatever has to end before a lease does is derived from one of them, and whatever has to
+// wait for the lease from the other: a delay between the two reads then only adds to the wait.
+type Reading struct {
+	Now              time.Time
+	Earliest, Latest time.Duration
+}
+
+// ReadAt returns a Reading of a time of the runtime's clock that has passed.
+func ReadAt(now time.Time, uptime func() time.Duration) Reading {
+	latest := uptime()
+	return Reading{Now: now, Earliest: latest - time.Since(now), Latest: latest}
+}
+
 // Renewer tracks the leases of a cell's workers during one holder's term. Its methods are not
 // safe for concurrent use.
 type Renewer struct {
 	epoch identifier.Epoch
-	// uptime includes the time for which the machine was suspended, which the holder's own clock
-	// does not. At the start of the term it was startUptime, and the cell's clock startClock.
-	uptime      func() time.Duration
+	// reading is the time of the present decision, by which all methods go.
+	reading Reading
+	// startUptime is the uptime at the start of the term, and startClock the cell's clock.
 	startUptime time.Duration
 	startClock  Time
 	// terms is the stored history of terms, including this one.
@@ -198,13 +213,12 @@
 
 // New returns a Renewer for the last term of the stored state, which started at startUptime.
 // maxInherited is how long after the start of a term leases that the previous holder renewed may
-// last. The cell's clock advances with uptime, which has to include the time for which the machine
-// was suspended.
-func New(now time.Time, uptime func() time.Duration, startUptime, maxInherited time.Duration, stored State) *Renewer {
+// last.
+func New(now Reading, startUptime, maxInherited time.Duration, stored State) *Renewer {
 	term := stored.lastTerm()
 	r := &Renewer{
-		epoch: term.Epoch, uptime: uptime, startUptime: startUptime, startClock: term.Start, maxInherited: maxInherited, terms: stored.Terms, previous: stored.Leases,
-		leases: map[identifier.Worker]*lease{}, changed: map[identifier.Worker]struct{}{}, clockTakenAt: now,
+		epoch: term.Epoch, reading: now, startUptime: startUptime, startClock: term.Start, maxInherited: maxInherited, terms: stored.Terms, previous: stored.Leases,
+		leases: map[identifier.Worker]*lease{}, changed: map[identifier.Worker]struct{}{}, clockTakenAt: now.Now,
 	}
 	for id := range stored.Leases {
 		r.leaseFor(id).hasRecord = true
@@ -212,8 +226,14 @@
 	return r
 }
 
-// Clock returns the current time of the cell's clock.
-func (r *Renewer) Clock() Time { return r.startClock + Time(r.uptime()-r.startUptime) }
+// SetTime begins a decision: until the next call, all methods go by this reading.
+func (r *Renewer) SetTime(now Reading) { r.reading = now }
+
+// Clock returns a lower bound of the cell's clock.
+func (r *Renewer) Clock() Time { return r.startClock + Time(r.reading.Earliest-r.startUptime) }
+
+// latestClock returns an upper bound of the cell's clock.
+func (r *Renewer) latestClock() Time { return r.startClock + Time(r.reading.Latest-r.startUptime) }
 
 // inheritedLease returns the latest expiry of the lease of a worker that was not heard from in
 // this term, the latest time at which it was heard from, and the epoch of that time.
@@ -244,26 +264,27 @@
 
 // InheritedExpiry returns the latest time, by the holder's own clock, at which the lease of a
 // worker that was not heard from in this term expires.
-func (r *Renewer) InheritedExpiry(id identifier.Worker, now time.Time) time.Time {
+func (r *Renewer) InheritedExpiry(id identifier.Worker) time.Time {
 	expires, _, _ := r.inheritedLease(id)
-	return now.Add(time.Duration(expires - r.Clock()))
+	return r.reading.Now.Add(time.Duration(expires - r.Clock()))
 }
 
 // RenewableUntil returns up to when a lease may be renewed although the record that allows it is
 // not stored yet: by the records of earlier terms, a successor waits at least that long. It is
 // zero if renewal is not pending, or if this term has taken a record that gives the lease an end.
-func (r *Renewer) RenewableUntil(id identifier.Worker, now time.Time) time.Time {
+func (r *Renewer) RenewableUntil(id identifier.Worker) time.Time {
 	if l, ok := r.leases[id]; !ok || l.renewal != renewalPending || l.lastBatch > 0 && !l.alwaysRenewable {
 		return time.Time{}
 	}
-	return r.InheritedExpiry(id, now)
+	expires, _, _ := r.inheritedLease(id)
+	return r.reading.Now.Add(time.Duration(expires - r.latestClock()))
 }
 
 // Silence returns how long a worker has not been heard from. lastHeard is a time of the holder's
 // own clock, or zero if the worker was not heard from in this term.
-func (r *Renewer) Silence(id identifier.Worker, lastHeard, now time.Time) Silence {
+func (r *Renewer) Silence(id identifier.Worker, lastHeard time.Time) Silence {
 	if !lastHeard.IsZero() {
-		return Silence{Duration: now.Sub(lastHeard)}
+		return Silence{Duration: r.reading.Now.Sub(lastHeard)}
 	}
 	_, inherited, epoch := r.inheritedLease(id)
 	return Silence{Duration: time.Duration(r.Clock() - inherited), Takeovers: int(r.epoch - epoch)}
@@ -346,23 +367,22 @@
 
 // ClockDue reports whether the stored clock is clockSaveInterval old. It needs to be stored again
 // only while leases depend on it.
-func (r *Renewer) ClockDue(now time.Time) bool { return now.Sub(r.clockTakenAt) >= clockSaveInterval }
+func (r *Renewer) ClockDue() bool { return r.reading.Now.Sub(r.clockTakenAt) >= clockSaveInterval }
 
 // Take returns the changed records for a batch, and the clock that has to be stored with them.
 // Batches must have rising numbers and be stored in that order.
-func (r *Renewer) Take(batch uint64, now time.Time) (records []Record, clock Time) {
-	clock = r.Clock()
-	r.clockTakenAt = now
+func (r *Renewer) Take(batch uint64) (records []Record, clock Time) {
+	r.clockTakenAt = r.reading.Now
 	for id := range r.changed {
-		records = append(records, r.takeRecord(id, batch, clock, now))
+		records = append(records, r.takeRecord(id, batch))
 	}
 	clear(r.changed)
-	return records, clock
+	return records, r.Clock()
 }
 
 // takeRecord returns the record of a worker's lease for a batch, and notes in the lease that the
 // batch contains it.
-func (r *Renewer) takeRecord(id identifier.Worker, batch uint64, clock Time, now time.Time) Record {
+func (r *Renewer) takeRecord(id identifier.Worker, batch uint64) Record {
 	l, ok := r.leases[id]
 	if !ok {
 		return Record{Worker: id}
@@ -371,16 +391,21 @@
 	l.lastBatch, l.hasRecord = batch, true
 	if l.renewal != notRenewed {
 		lease := &Lease{Epoch: r.epoch, Renewable: true}
-		if l.extendedUntil.After(now) {
-			lease.Expires = clock + Time(l.extendedUntil.Sub(now))
+		if l.extendedUntil.After(r.reading.Now) {
+			lease.Expires = r.latestTimeOf(l.extendedUntil)
 		}
 		return Record{Worker: id, Lease: lease}
 	}
 	return Record{Worker: id, Lease: &Lease{
-		Epoch: r.epoch, Expires: clock + Time(l.expires.Sub(now)), LastHeard: clock - Time(now.Sub(l.lastHeard)),
+		Epoch: r.epoch, Expires: r.latestTimeOf(l.expires), LastHeard: r.latestTimeOf(l.lastHeard),
 	}}
 }
 
+// latestTimeOf returns an upper bound of the cell's clock at a time of the holder's own clock.
+func (r *Renewer) latestTimeOf(at time.Time) Time {
+	return r.latestClock() + Time(at.Sub(r.reading.Now))
+}
+
 // MarkStored allows the renewal of the leases that the stored records of a batch mark as
 // renewable, unless a later batch has a newer record of the same lease.
 func (r *Renewer) MarkStored(batch uint64, records []Record) {
--- a/internal/renewer/renewer_test.go
+++ b/internal/renewer/renewer_test.go
@@ -26,6 +26,8 @@
 	now time.Time
 	// suspended is the total time for which the holder's machine was suspended.
 	suspended time.Duration
+	// readDelay is how long may pass between the two reads of a Reading.
+	readDelay time.Duration
 	stored    State
 	epoch     identifier.Epoch
 	holder    *Renewer
@@ -49,14 +51,25 @@
 
 func (c *testCell) uptime() time.Duration { return c.now.Sub(testStart) + c.suspended }
 
+// reading is the reading for a decision, whose time is known to readDelay.
+func (c *testCell) reading() Reading {
+	return Reading{Now: c.now, Earliest: c.uptime() - c.readDelay, Latest: c.uptime() + c.readDelay}
+}
+
+// current returns the holder as it makes a decision now.
+func (c *testCell) current() *Renewer {
+	c.holder.SetTime(c.reading())
+	return c.holder
+}
+
 // takeOver begins the term of a new holder, whose host has observed the cell's clock or not.
 func (c *testCell) takeOver(clockObserved bool) { c.takeOverIn(clockObserved, 0) }
 
 // takeOverIn is takeOver by a host that takes a while to store the new term.
 func (c *testCell) takeOverIn(clockObserved bool, took time.Duration) {
 	startUptime := c.fence(clockObserved, took)
-	c.holder = New(c.now, c.uptime, startUptime, maxInheritedLease, c.stored)
-	c.knownExpiry = c.holder.InheritedExpiry(worker, c.now)
+	c.holder = New(c.reading(), startUptime, maxInheritedLease, c.stored)
+	c.knownExpiry = c.current().InheritedExpiry(worker)
 }
 
 // fence stores a new term, took after the takeover has begun, and returns the uptime of that
@@ -84,8 +97,9 @@
 	if h == nil {
 		return
 	}
+	h.SetTime(c.reading())
 	if !h.RenewalAllowed(worker) {
-		if end := h.RenewableUntil(worker, c.now); end.After(c.actualExpiry) {
+		if end := h.RenewableUntil(worker); end.After(c.actualExpiry) {
 			c.actualExpiry = minTime(end, c.now.Add(testLease))
 		}
 		return
@@ -103,12 +117,12 @@
 	return b
 }
 
-func (c *testCell) suspend() { c.holder.Suspend(worker, c.knownExpiry, c.now) }
+func (c *testCell) suspend() { c.current().Suspend(worker, c.knownExpiry, c.now) }
 
 // storeBatch takes a batch and stores it; confirmBatch tells the holder so.
 func (c *testCell) storeBatch() {
 	c.batch++
-	records, clock := c.holder.Take(c.batch, c.now)
+	records, clock := c.current().Take(c.batch)
 	c.unconfirmed = records
 	c.stored.Clock = clock
 	c.stored.Leases = maps.Clone(c.stored.Leases)
@@ -137,14 +151,17 @@
 			"time passes": func(t *rapid.T) {
 				c.now = c.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 			},
+			"decisions take long": func(t *rapid.T) {
+				c.readDelay = time.Duration(rapid.IntRange(0, 500).Draw(t, "read delay, ms")) * time.Millisecond
+			},
 			"worker answers": func(*rapid.T) {
 				heardInTerm = true
-				c.holder.Resume(worker)
+				c.current().Resume(worker)
 				c.renew(c.holder)
 			},
 			"worker answers and the record is stored": func(*rapid.T) {
 				heardInTerm = true
-				c.holder.Resume(worker)
+				c.current().Resume(worker)
 				c.storeBatch()
 				c.confirmBatch()
 				c.renew(c.holder)
@@ -158,7 +175,7 @@
 			"batch is stored":     func(*rapid.T) { c.storeBatch() },
 			"batch is confirmed":  func(*rapid.T) { c.confirmBatch() },
 			"host observes the clock": func(*rapid.T) {
-				c.clocks.Observe(0, ClockReading{c.epoch, c.holder.Clock()}, c.uptime())
+				c.clocks.Observe(0, ClockReading{c.epoch, c.current().Clock()}, c.uptime())
 			},
 			"cell is taken over": func(t *rapid.T) {
 				took := time.Duration(rapid.IntRange(0, 4000).Draw(t, "took, ms")) * time.Millisecond
@@ -173,7 +190,7 @@
 				heardInTerm = false
 			},
 			"": func(t *rapid.T) {
-				if expected, actual := c.holder.InheritedExpiry(worker, c.now), c.actualExpiry; !heardInTerm && actual.After(expected) {
+				if expected, actual := c.current().InheritedExpiry(worker), c.actualExpiry; !heardInTerm && actual.After(expected) {
 					t.Fatalf("lease expires %v later than its holder expects", actual.Sub(expected))
 				}
 			},
@@ -203,7 +220,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := newTestCell()
 			c.now = c.now.Add(maxInheritedLease)
-			c.holder.Resume(worker)
+			c.current().Resume(worker)
 			c.storeBatch()
 			c.confirmBatch()
 			c.renew(c.holder)
@@ -214,7 +231,7 @@
 				c.confirmBatch()
 			}
 			for _, term := range tt.terms {
-				c.clocks.Observe(0, ClockReading{c.epoch, c.holder.Clock()}, c.uptime())
+				c.clocks.Observe(0, ClockReading{c.epoch, c.current().Clock()}, c.uptime())
 				c.takeOver(tt.clockObserved)
 				c.now = c.now.Add(term)
 				c.storeBatch()
@@ -222,7 +239,7 @@
 			}
 			end := c.actualExpiry
 			if len(tt.terms) > 0 {
-				end = c.holder.InheritedExpiry(worker, c.now)
+				end = c.current().InheritedExpiry(worker)
 			}
 			if got := end.Sub(silent); got != tt.want {
 				t.Errorf("wait for the worker's lease is %v, want %v", got, tt.want)
@@ -250,12 +267,12 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := newTestCell()
-			c.holder.Resume(worker)
+			c.current().Resume(worker)
 			c.storeBatch()
 			c.confirmBatch()
 			c.now = c.now.Add(quiet)
 			c.renew(c.holder)
-			c.clocks.Observe(0, ClockReading{c.epoch, c.holder.Clock()}, c.uptime())
+			c.clocks.Observe(0, ClockReading{c.epoch, c.current().Clock()}, c.uptime())
 			first := c.now
 			for range tt.ended {
 				c.fence(true, 0)
@@ -265,7 +282,7 @@
 				c.now = c.now.Add(gap)
 			}
 			c.takeOver(true)
-			if got := c.holder.InheritedExpiry(worker, c.now).Sub(first); got != tt.want {
+			if got := c.current().InheritedExpiry(worker).Sub(first); got != tt.want {
 				t.Errorf("wait for the worker's lease is %v, want %v", got, tt.want)
 			}
 		})
@@ -290,7 +307,7 @@
 	stored := State{Clock: Time(time.Hour), Leases: map[identifier.Worker]Lease{worker: {Epoch: 3, Expires: Time(time.Minute)}}}
 	for _, epoch := range []identifier.Epoch{5, 6} {
 		stored = stored.BeginTerm(epoch, "", ClockEstimate{})
-		if got := New(testStart, func() time.Duration { return 0 }, 0, maxInheritedLease, stored).InheritedExpiry(worker, testStart).Sub(testStart); got != maxInheritedLease {
+		if got := New(Reading{Now: testStart}, 0, maxInheritedLease, stored).InheritedExpiry(worker).Sub(testStart); got != maxInheritedLease {
 			t.Errorf("epoch %d: wait for the lease is %v, want %v", epoch, got, maxInheritedLease)
 		}
 	}
@@ -301,18 +318,21 @@
 func TestSuccessorsWaitForExtendedLeases(t *testing.T) {
 	const extension = maxInheritedLease + 2*time.Second
 	tests := map[string]func(c *testCell){
-		"before renewal is allowed": func(c *testCell) { c.holder.RecordExtension(worker, c.now.Add(extension)); c.holder.Resume(worker) },
+		"before renewal is allowed": func(c *testCell) {
+			c.current().RecordExtension(worker, c.now.Add(extension))
+			c.current().Resume(worker)
+		},
 		"while renewal is allowed": func(c *testCell) {
-			c.holder.Resume(worker)
+			c.current().Resume(worker)
 			c.storeBatch()
 			c.confirmBatch()
-			c.holder.RecordExtension(worker, c.now.Add(extension))
+			c.current().RecordExtension(worker, c.now.Add(extension))
 		},
 		"while renewal is suspended": func(c *testCell) {
-			c.holder.Resume(worker)
+			c.current().Resume(worker)
 			c.suspend()
-			c.holder.RecordExtension(worker, c.now.Add(extension))
-			c.holder.Resume(worker)
+			c.current().RecordExtension(worker, c.now.Add(extension))
+			c.current().Resume(worker)
 		},
 	}
 	for name, extend := range tests {
@@ -322,7 +342,7 @@
 			c.storeBatch()
 			c.confirmBatch()
 			c.takeOver(false)
-			if got := c.holder.InheritedExpiry(worker, c.now).Sub(c.now); got != extension {
+			if got := c.current().InheritedExpiry(worker).Sub(c.now); got != extension {
 				t.Errorf("wait for the worker's lease is %v, want %v", got, extension)
 			}
 		})
@@ -334,17 +354,17 @@
 // confirmation of the first, which marks it as renewable, arrives after that.
 func TestConfirmationsOfOlderRecordsAreIgnored(t *testing.T) {
 	c := newTestCell()
-	c.holder.Resume(worker)
-	first, _ := c.holder.Take(1, c.now)
-	c.holder.Suspend(worker, c.now, c.now)
-	second, _ := c.holder.Take(2, c.now)
-	c.holder.Resume(worker)
+	c.current().Resume(worker)
+	first, _ := c.current().Take(1)
+	c.current().Suspend(worker, c.now, c.now)
+	second, _ := c.current().Take(2)
+	c.current().Resume(worker)
 	c.holder.MarkStored(1, first)
 	c.holder.MarkStored(2, second)
 	if c.holder.RenewalAllowed(worker) {
 		t.Error("renewal is allowed although the newest stored record gives the lease an end")
 	}
-	third, _ := c.holder.Take(3, c.now)
+	third, _ := c.current().Take(3)
 	c.holder.MarkStored(3, third)
 	if !c.holder.RenewalAllowed(worker) {
 		t.Error("renewal is not allowed although the newest stored record marks the lease as renewable")
--- a/internal/renewer/witness_test.go
+++ b/internal/renewer/witness_test.go
@@ -27,9 +27,9 @@
 func TestSuspensionOfTheHolderDoesNotShortenTheWait(t *testing.T) {
 	c := newTestCell()
 	c.now = c.now.Add(maxInheritedLease)
-	c.clocks.Observe(0, ClockReading{c.epoch, c.holder.Clock()}, c.uptime())
+	c.clocks.Observe(0, ClockReading{c.epoch, c.current().Clock()}, c.uptime())
 	c.suspended = 6 * time.Second
-	c.holder.Resume(worker)
+	c.current().Resume(worker)
 	c.storeBatch()
 	c.confirmBatch()
 	c.renew(c.holder)
@@ -37,8 +37,8 @@
 	c.storeBatch()
 	// The times as seen by machines that were not suspended.
 	now, expiry := c.now.Add(c.suspended), c.actualExpiry.Add(c.suspended)
-	next := New(now, c.uptime, c.uptime(), maxInheritedLease, c.stored.BeginTerm(c.epoch+1, "", c.clocks.Estimate(0, c.uptime())))
-	if end := next.InheritedExpiry(worker, now); end.Before(expiry) {
+	next := New(Reading{now, c.uptime(), c.uptime()}, c.uptime(), maxInheritedLease, c.stored.BeginTerm(c.epoch+1, "", c.clocks.Estimate(0, c.uptime())))
+	if end := next.InheritedExpiry(worker); end.Before(expiry) {
 		t.Errorf("lease expires %v later than its holder expects", expiry.Sub(end))
 	}
 }
