Count failures of a gang by run

Change: a gang's failed runs are a set of attempts, which its members share, stored under a new key of the job's record. Records without it count by the member with the most failures.

--- a/internal/planner/end.go
+++ b/internal/planner/end.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
 
 // handleEnd handles an end that a worker lists, if it is new or could not be decoded before. Ends
@@ -39,7 +40,7 @@
 		p.taskSucceeded(t)
 	case e.Reason == connector.EndFailed && lost:
 		p.log.LateEnd(e.Run, w.id, e.Reason)
-		p.taskFailed(t, w)
+		p.taskFailed(t, w, e.Run.Attempt)
 	}
 	p.markDirty(t.group.job)
 }
@@ -67,7 +68,7 @@
 		if t.restarts == 0 {
 			p.blame(w, t)
 		}
-		p.taskFailed(t, w)
+		p.taskFailed(t, w, e.Run.Attempt)
 		p.delayRestart(r)
 	case connector.EndStopped, connector.EndLeaseExpired, connector.EndGangBroken, connector.EndGangIncomplete:
 	}
@@ -91,23 +92,31 @@
 
 // taskFailed counts a failed run, and fails the job after the last attempt. Long-running tasks are
 // tried without limit.
-func (p *Planner) taskFailed(t *task, w *worker) {
+func (p *Planner) taskFailed(t *task, w *worker, attempt identifier.Attempt) {
 	t.failures++
 	t.failedOn = w.id
 	t.notBefore = p.now.Add(failureDelay)
-	failures := t.failures
-	if t.group.step.Gang {
-		t.group.failedGangRuns++
-		failures = t.group.failedGangRuns
-	}
 	if t.group.step.LongRunning {
 		return
 	}
+	failures := t.failures
+	if t.group.step.Gang {
+		t.group.addFailedRun(attempt)
+		failures = max(failures, len(t.group.failedRuns))
+	}
 	if failures >= max(t.group.job.queue.MaxAttempts, 1) {
 		p.endJob(t.group.job, StateFailed)
 	}
 }
 
+// addFailedRun records a run of a gang of which a member has failed. The members of a run share its attempt.
+func (g *taskGroup) addFailedRun(attempt identifier.Attempt) {
+	if g.failedRuns == nil {
+		g.failedRuns = map[identifier.Attempt]struct{}{}
+	}
+	g.failedRuns[attempt] = struct{}{}
+}
+
 // Quarantine of workers on which runs fail in a row.
 const (
 	// quarantineFailures is the number of consecutive failures, of any jobs, that put a worker into
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -91,8 +91,8 @@
 	waitLogged time.Time
 	// blamed are the workers that were blamed for a straggler of the step.
 	blamed map[identifier.Worker]struct{}
-	// failedGangRuns counts the failed runs of all members of a gang.
-	failedGangRuns int
+	// failedRuns are the runs of a gang of which a member has failed.
+	failedRuns map[identifier.Attempt]struct{}
 }
 
 // job is a submitted job with the state of its tasks.
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -34,6 +34,17 @@
 	// Finished are the occurrences whose tasks are all done. Tasks holds only those of their tasks
 	// that may still have an active run.
 	Finished []OccurrenceRange `cbor:"9,keyasint,omitempty"`
+	// FailedRuns are the failed runs of gangs. They are missing in records of releases that counted
+	// the failed members.
+	FailedRuns []FailedRunsRecord `cbor:"10,keyasint,omitempty"`
+}
+
+// FailedRunsRecord names the runs of a gang of which a member has failed.
+type FailedRunsRecord struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Attempts   []identifier.Attempt
 }
 
 // EvictionRecord is how often a task was stopped because it made too little progress.
@@ -302,6 +313,7 @@
 	if !j.state.Ended() {
 		r.Lost = lostRunsOf(j)
 		r.Evictions = evictionsOf(j)
+		r.FailedRuns = failedRunsOf(j)
 	}
 	if j.def.Schedule != nil {
 		r.Finished = slices.Clone(j.finished)
@@ -309,6 +321,19 @@
 	return r
 }
 
+// failedRunsOf returns the failed runs of a job's gangs that are not done.
+func failedRunsOf(j *job) []FailedRunsRecord {
+	var out []FailedRunsRecord
+	for k, groups := range j.occurrences {
+		for _, g := range groups {
+			if len(g.failedRuns) > 0 && g.doneTasks < len(g.tasks) {
+				out = append(out, FailedRunsRecord{Occurrence: k, Step: g.index, Attempts: slices.Sorted(maps.Keys(g.failedRuns))})
+			}
+		}
+	}
+	return out
+}
+
 // evictionsOf returns the evictions of a job's tasks that are not done, of at most maxEvicted tasks.
 func evictionsOf(j *job) []EvictionRecord {
 	var out []EvictionRecord
@@ -409,6 +434,13 @@
 	for _, l := range rec.Lost {
 		p.restoreLost(j, l)
 	}
+	for _, f := range rec.FailedRuns {
+		if t := p.lookupTask(identifier.JobTask{Job: j.def.ID, Occurrence: f.Occurrence, Step: f.Step}); t != nil {
+			for _, a := range f.Attempts {
+				t.group.addFailedRun(a)
+			}
+		}
+	}
 	for _, e := range rec.Evictions {
 		if t := p.lookupTask(identifier.JobTask{Job: j.def.ID, Occurrence: e.Occurrence, Step: e.Step, Index: e.Index}); t != nil {
 			t.evictions = max(e.Count, 0)
@@ -454,9 +486,6 @@
 	g := j.occurrences[rec.Occurrence][rec.Step]
 	t := &g.tasks[rec.Index]
 	t.attempt, t.failures, t.checkpoint = rec.Attempt, rec.Failures, rec.Checkpoint
-	if g.step.Gang {
-		g.failedGangRuns += rec.Failures
-	}
 	if rec.Done && t.phase != taskDone {
 		p.setPhase(t, taskDone)
 		g.doneTasks++
