Place gangs whole, and keep waits over failed attempts

Change: room is reserved for all members before anything else changes; a cheap count of the room of all workers comes first, and a gang without room is tried again after the time that a search takes it. What has certainly not begun on a worker (start refused, fenced off or not sent, claim withdrawn) goes on waiting from before. If a claim of a gang is withdrawn before its first start, all are. Members that have to wait after a failure delay their gang.

--- a/internal/planner/adviser.go
+++ b/internal/planner/adviser.go
@@ -148,6 +148,5 @@
 		p.markUnsure(r)
 		return
 	}
-	p.removeRun(r)
-	p.requeue(r.task)
+	p.dropUnstarted(r)
 }
--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -10,27 +10,44 @@
 )
 
 // claim reserves room for a run on a worker and queues the claim to be stored.
-func (p *Planner) claim(t *task, w *worker, attempt identifier.Attempt) *run {
-	t.attempt = attempt
-	r := &run{
+func (p *Planner) claim(t *task, w *worker, attempt identifier.Attempt) {
+	r := p.newRun(t, attempt)
+	p.reserve(w, r)
+	p.commitClaim(r)
+}
+
+func (p *Planner) newRun(t *task, attempt identifier.Attempt) *run {
+	return &run{
 		id:   connector.RunID{Task: t.name(), Attempt: attempt},
 		task: t, size: t.group.step.Size, phase: runClaimed, pace: fullPace, startedAt: p.now,
+		readyAt: t.readyAt,
 	}
-	p.reserve(w, r)
-	p.leases.Resume(w.id)
+}
+
+// commitClaim queues the claim of a run, for which room is reserved, to be stored.
+func (p *Planner) commitClaim(r *run) {
+	t := r.task
+	t.attempt = r.id.Attempt
+	p.leases.Resume(r.worker.id)
 	p.addUnsentClaim(r)
 	t.runs = append(t.runs, r)
 	t.group.job.runCount++
 	p.setPhase(t, taskPlaced)
 	p.newClaims = append(p.newClaims, r)
 	p.markDirty(t.group.job)
-	return r
 }
 
-// releaseClaim drops a claim whose start was never sent.
-func (p *Planner) releaseClaim(r *run) {
+// dropUnstarted drops a run that has certainly not begun on its worker and makes its task ready again. The
+// task has waited all along: how long it may wait does not count from its failed attempts.
+func (p *Planner) dropUnstarted(r *run) {
+	j := r.task.group.job
+	idleSince := j.idleSince
 	p.removeRun(r)
+	j.idleSince = idleSince
 	p.requeue(r.task)
+	if r.task.phase == taskReady {
+		r.task.readyAt = r.readyAt
+	}
 }
 
 // requeue makes a task ready again unless another of its runs may be active, or the task or its job
@@ -58,9 +75,8 @@
 	for i, other := range t.runs {
 		if other == r {
 			t.runs = append(t.runs[:i], t.runs[i+1:]...)
-			if t.group.job.runCount--; t.group.job.runCount == 0 {
-				t.group.job.idleSince = p.now
-			}
+			t.group.job.runCount--
+			t.group.job.idleSince = p.now
 			return
 		}
 	}
@@ -97,9 +113,8 @@
 		p.heldClaims = append(p.heldClaims, r)
 		return
 	}
-	if reason := p.reasonToWithdraw(r); reason != "" {
-		p.log.ClaimWithdrawn(r.id, r.worker.id, reason)
-		p.releaseClaim(r)
+	if reason := p.reasonToWithdrawAny(r); reason != "" {
+		p.withdraw(r, reason)
 		return
 	}
 	if !p.leases.RenewalAllowed(r.worker.id) {
@@ -133,6 +148,41 @@
 	}
 }
 
+// withdraw takes back a claim, and those of the other members of its gang that are not sent either: some
+// members alone would only wait for the others.
+func (p *Planner) withdraw(r *run, reason string) {
+	p.log.ClaimWithdrawn(r.id, r.worker.id, reason)
+	p.dropUnstarted(r)
+	if !r.task.group.step.Gang {
+		return
+	}
+	for i := range r.task.group.tasks {
+		for _, other := range slices.Clone(r.task.group.tasks[i].runs) {
+			if other.phase == runClaimed && other.id.Attempt == r.id.Attempt {
+				p.dropUnstarted(other)
+			}
+		}
+	}
+}
+
+// reasonToWithdrawAny returns why a claim must not be started any more. Before the first start of a gang
+// it checks all members.
+func (p *Planner) reasonToWithdrawAny(r *run) string {
+	g := r.task.group
+	if !g.step.Gang || g.checkedRun == r.id.Attempt {
+		return p.reasonToWithdraw(r)
+	}
+	for i := range g.tasks {
+		for _, other := range g.tasks[i].runs {
+			if reason := p.reasonToWithdraw(other); other.phase == runClaimed && reason != "" {
+				return reason
+			}
+		}
+	}
+	g.checkedRun = r.id.Attempt
+	return ""
+}
+
 // reasonToWithdraw returns why a claim must not be started any more, or "" if it may.
 func (p *Planner) reasonToWithdraw(r *run) string {
 	switch o := p.workerObstacle(r.worker); {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -91,6 +91,10 @@
 	waitLogged time.Time
 	// blamed are the workers that were blamed for a straggler of the step.
 	blamed map[identifier.Worker]struct{}
+	// checkedRun is the run of a gang whose claims were all checked before the first start.
+	checkedRun identifier.Attempt
+	// retryGangAt is when a gang for which there was no room is tried again.
+	retryGangAt time.Time
 	// failedRuns are the runs of a gang of which a member has failed.
 	failedRuns map[identifier.Attempt]struct{}
 }
@@ -127,7 +131,7 @@
 	lastBatch  uint64
 	readyTasks int
 	runCount   int
-	// idleSince is when the number of the job's runs last dropped to zero.
+	// idleSince is since when the job has had no run that began, if it has no run now.
 	idleSince time.Time
 }
 
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -104,8 +104,7 @@
 func (p *Planner) discardUnsentStart(r *run) {
 	t := r.task
 	t.failedOn, t.notBefore = r.worker.id, p.now.Add(notSentDelay)
-	p.removeRun(r)
-	p.requeue(t)
+	p.dropUnstarted(r)
 }
 
 // markUnsure leaves it to the next poll of the worker to tell whether a run is there. The poll
@@ -132,8 +131,7 @@
 		p.markUnsure(r)
 		return
 	}
-	p.removeRun(r)
-	p.requeue(r.task)
+	p.dropUnstarted(r)
 }
 
 // startRefused drops a run whose start the worker refused, unless an earlier start of the run may
@@ -152,8 +150,7 @@
 		t.notBefore = p.now.Add(backoff(t.refusals))
 	}
 	t.refusals++
-	p.removeRun(r)
-	p.requeue(t)
+	p.dropUnstarted(r)
 }
 
 // stepDown gives up the cell after a worker has refused the current epoch of its orders, since only
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -437,29 +437,87 @@
 // placeGang claims workers for all tasks of a gang at once, or for none. All members continue with
 // the same attempt number and from the same checkpoint, the newest that any of them has saved.
 func (p *Planner) placeGang(g *taskGroup) {
-	if g.readyTasks < len(g.tasks) {
+	if g.readyTasks < len(g.tasks) || p.now.Before(g.retryGangAt) {
 		return
 	}
 	attempt := identifier.Attempt(0)
 	var saved identifier.Checkpoint
 	for i := range g.tasks {
+		if p.now.Before(g.tasks[i].notBefore) {
+			return
+		}
 		attempt = max(attempt, g.tasks[i].attempt)
 		if c := g.tasks[i].checkpoint; c > saved {
 			saved = c
 		}
 	}
-	d := p.demandOf(&g.tasks[0], p.patience(g))
-	claimed := make([]*run, 0, len(g.tasks))
+	runs := p.reserveGang(g, attempt+1)
+	if runs == nil {
+		g.retryGangAt = p.now.Add(min(time.Duration(len(g.tasks)*len(p.workers))*retryPerCheck, maxRetryAfter))
+		return
+	}
+	for _, r := range runs {
+		r.task.checkpoint = saved
+		p.commitClaim(r)
+	}
+}
+
+// reserveGang reserves room for a run of all members of a gang and returns these, or nil if there is no room
+// for some. Nothing else changes, so that a gang goes on waiting as if it had not been tried.
+func (p *Planner) reserveGang(g *taskGroup, attempt identifier.Attempt) []*run {
+	d := p.demandOf(g.firstReady(), p.patience(g))
+	if !p.hasGangRoom(g, d) {
+		return nil
+	}
+	runs := make([]*run, 0, len(g.tasks))
 	for i := range g.tasks {
 		t := &g.tasks[i]
 		w := p.bestWorker(t, d)
 		if w == nil {
-			for _, r := range claimed {
-				p.releaseClaim(r)
+			for _, r := range runs {
+				p.free(r.worker, r)
 			}
-			return
+			return nil
+		}
+		r := p.newRun(t, attempt)
+		p.reserve(w, r)
+		runs = append(runs, r)
+	}
+	return runs
+}
+
+// hasGangRoom reports whether the room of all workers together is enough for a gang, by sizes and limits
+// alone. It spares gangs that are far too large a search for each member.
+func (p *Planner) hasGangRoom(g *taskGroup, d demand) bool {
+	left := len(g.tasks)
+	for _, w := range p.workerList {
+		if p.placementObstacle(&g.tasks[0], w, d) != obstacleNone {
+			continue
+		}
+		room := w.room()
+		if d.kind == loadScavenger {
+			room.Processors = w.spareFor(d)
+		}
+		n := copiesWithin(room, g.step.Size)
+		if g.step.MaxPerWorker > 0 {
+			n = min(n, g.step.MaxPerWorker)
+		}
+		if left -= min(n, left); left == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// copiesWithin returns how many tasks of a size fit into a room.
+func copiesWithin(room, size identifier.Size) int {
+	n := submitter.MaxTasks
+	for _, d := range [][2]int64{
+		{int64(room.Processors), int64(size.Processors)}, {int64(room.Memory), int64(size.Memory)}, {int64(room.Accelerators), int64(size.Accelerators)},
+	} {
+		if d[1] > 0 {
+			n = min(n, int(d[0]/d[1]))
 		}
-		t.checkpoint = saved
-		claimed = append(claimed, p.claim(t, w, attempt+1))
 	}
+	return max(n, 0)
 }
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -43,6 +43,8 @@
 	confirmedAt time.Time
 	// startedAt is when this holder claimed, restored or adopted the run.
 	startedAt time.Time
+	// readyAt is since when the task was ready as the run was claimed.
+	readyAt time.Time
 	// startTries counts the starts sent.
 	startTries int
 	// maybeDelivered is set once a start may have reached the worker.
