Count jobs as waiting until a worker has begun one of their tasks

Change: a job is started once a worker confirms a start of it, or lists a run or an end of it. A start that a worker calls stale proves nothing, since the worker refuses a run that was stopped before it began in the same way.

--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -122,16 +122,21 @@
 		p.heldClaims = append(p.heldClaims, r)
 		return
 	}
-	j := r.task.group.job
-	if !j.started {
-		j.started = true
-		j.state = StateRunning
-		p.markDirty(j)
-		p.log.JobStarted(j.def.ID, j.def.Queue, p.now.Sub(j.submitted))
-	}
 	p.sendStart(r)
 }
 
+// noteBegun records that a worker has begun a task of a job: it has confirmed a start, or lists a run or its
+// end. A start that was only sent may be refused, and its job waits on.
+func (p *Planner) noteBegun(j *job) {
+	if j.started || j.state.Ended() {
+		return
+	}
+	j.started = true
+	j.state = StateRunning
+	p.markDirty(j)
+	p.log.JobStarted(j.def.ID, j.def.Queue, p.now.Sub(j.submitted))
+}
+
 // startHeldClaims sends the starts of held claims, those of the most urgent queues first. Workers
 // know nothing of a claim before its start, so that it stays valid however long it is held.
 func (p *Planner) startHeldClaims() {
--- a/internal/planner/end.go
+++ b/internal/planner/end.go
@@ -17,6 +17,9 @@
 	w.lastEnd = max(w.lastEnd, e.Number)
 	w.unsavedEnds = true
 	p.newEnds[w] = endMark{w.incarnation, w.lastEnd}
+	if t := p.lookupTask(e.Run.Task); t != nil {
+		p.noteBegun(t.group.job)
+	}
 	if r := w.runs[e.Run]; r != nil {
 		p.handleRunEnd(r, e)
 		return
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -122,8 +122,9 @@
 	// finished are the occurrences whose tasks are all done, and finishedAt is when that was.
 	finished   occurrenceSet
 	finishedAt map[int]time.Time
-	started    bool
-	state      JobState
+	// started is set once a worker has begun a task of the job.
+	started bool
+	state   JobState
 	// visibleState is the state that callers see: the newest one that is stored.
 	visibleState JobState
 	endedAt      time.Time
--- a/internal/planner/log.go
+++ b/internal/planner/log.go
@@ -36,8 +36,8 @@
 
 // Log receives the planner's decisions, one call for each.
 type Log interface {
-	// JobStarted reports the first start of a job, and for how long it had waited since its
-	// submission.
+	// JobStarted reports that a worker has begun the first task of a job, and for how long the job had
+	// waited since its submission.
 	JobStarted(id identifier.Job, queue identifier.Queue, waited time.Duration)
 	// JobEnded reports the end of a job, took after its submission and early before its objective;
 	// early is negative for a late job.
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -282,6 +282,7 @@
 	}
 	r.listedIn = p.counts.polls
 	p.recordIncarnation(w, r)
+	p.noteBegun(r.task.group.job)
 	if r.phase == runStarting || r.phase == runUnsure {
 		p.markActive(r)
 	}
@@ -317,6 +318,7 @@
 	if t == nil {
 		return
 	}
+	p.noteBegun(t.group.job)
 	r := &run{
 		id: a.Run, task: t, size: t.group.step.Size, phase: runStopping, confirmedAt: p.now, startedAt: p.now,
 		unwanted: true, stopSent: true, pace: fullPace, progressAt: p.now, listedIn: p.counts.polls, incarnation: w.incarnation,
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -35,6 +35,9 @@
 	case connector.VerdictOK, connector.VerdictStaleRun:
 		w.recordRenewal(e.Answer, p.now)
 		p.recordGrant(w, r.leaseUntil, e.Answer.Clock)
+		if e.Answer.Verdict == connector.VerdictOK {
+			p.noteBegun(r.task.group.job)
+		}
 		// VerdictStaleRun means that the run has ended already. It counts as active until the next
 		// poll reports how it ended.
 		p.markActive(r)
--- a/internal/planner/query.go
+++ b/internal/planner/query.go
@@ -16,7 +16,7 @@
 	return j.visibleState, true
 }
 
-// UnstartedJobs returns how many jobs of a queue have not started yet.
+// UnstartedJobs returns how many jobs of a queue wait: no worker has begun a task of them, as far as is known.
 func (p *Planner) UnstartedJobs(queue identifier.Queue) int {
 	n := 0
 	for _, j := range p.jobs {
