Operators see what teams run, of which limit

balsamcove team list and team show print weight, limit, usage, runs and waiting tasks of each team over all cells; the same is on the metrics address by team. A team that the configuration dropped is listed while the holder knows its jobs.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -64,6 +64,7 @@
 	List     listCommand     `cmd:"" help:"List batch tasks."`
 	Explain  explainCommand  `cmd:"" help:"Explain the state of a task."`
 	Job      jobCommands     `cmd:"" help:"Submit, follow and cancel jobs of several steps on scheduling hosts."`
+	Team     teamCommands    `cmd:"" help:"Show the teams of scheduling hosts, their limits and what they use."`
 	Settings settingsCommand `cmd:"" help:"Check the settings file of a host."`
 	Version  versionCommand  `cmd:"" help:"Show the version."`
 }
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -317,6 +317,16 @@
 	return t.planner.List(s), nil
 }
 
+// Teams returns the usage of the teams that have jobs in the cell, or ErrNotHolder.
+func (t *Term) Teams() ([]submitter.TeamUsage, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.planner == nil || !t.unpaused() {
+		return nil, ErrNotHolder
+	}
+	return t.planner.Teams(), nil
+}
+
 // queryJob calls get for a job. If the job is unknown, it reads the newest records of the inbox
 // and tries again, since the job may just have been submitted.
 func queryJob[T any](ctx context.Context, t *Term, id identifier.Job, get func(*planner.Planner, identifier.Job) (T, bool)) (out T, ok bool, err error) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -39,6 +39,7 @@
 	Report(ctx context.Context, id identifier.Job) (r submitter.Report, known bool, err error)
 	Explain(ctx context.Context, id identifier.Job) (e submitter.Explanation, known bool, err error)
 	List(s submitter.Selection) (submitter.Reports, error)
+	Teams() ([]submitter.TeamUsage, error)
 }
 
 // Service accepts jobs and cancellations on one host, and answers queries by asking the holders
@@ -192,6 +193,8 @@
 		return handleJobQuery(ctx, s, params, Holder.Explain)
 	case messenger.MethodJobList:
 		return s.handleList(params)
+	case messenger.MethodTeams:
+		return s.handleTeams(params)
 	default:
 		return nil, refuser.New(refuser.CodeInvalid, "unknown method %q", method)
 	}
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -36,6 +38,7 @@
 	Report(ctx context.Context, id identifier.Job) (r submitter.Report, known bool, err error)
 	Explain(ctx context.Context, id identifier.Job) (e submitter.Explanation, known bool, err error)
 	List(ctx context.Context, s submitter.Selection) (submitter.Reports, error)
+	Teams(ctx context.Context) ([]submitter.TeamUsage, error)
 }
 
 // Server handles the calls of the API.
@@ -55,6 +58,7 @@
 	h.POST("/v1/jobs", s.handler(s.submit))
 	h.GET("/v1/jobs", s.handler(s.list))
 	h.GET("/v1/directory", s.handler(s.config))
+	h.GET("/v1/teams", s.handler(s.teams))
 	h.GET("/v1/jobs/:id", s.handler(s.report))
 	h.GET("/v1/jobs/:id/explain", s.handler(s.explain))
 	h.POST("/v1/jobs/:id/cancel", s.handler(s.cancel))
@@ -120,6 +124,29 @@
 	return submitter.ConfigReport{Version: d.Version, Expected: d.Expected, AgeMillis: d.ConfigAge().Milliseconds(), Queues: len(d.Queues)}, nil
 }
 
+// teams returns the teams of the configuration in force, and those that still have jobs, with what
+// they use.
+func (s *Server) teams(ctx context.Context, _ *app.RequestContext) (any, error) {
+	used, err := s.jobs.Teams(ctx)
+	if err != nil {
+		return nil, err
+	}
+	reports := map[identifier.Team]submitter.TeamReport{}
+	for _, u := range used {
+		reports[u.Team] = submitter.TeamReport{TeamUsage: u}
+	}
+	for name, cfg := range s.directory().Teams {
+		r := reports[name]
+		r.Team, r.InForce, r.Weight, r.Limit = name, true, cfg.Weight, cfg.Limit
+		reports[name] = r
+	}
+	out := submitter.TeamReports{Teams: make([]submitter.TeamReport, 0, len(reports))}
+	for _, name := range slices.Sorted(maps.Keys(reports)) {
+		out.Teams = append(out.Teams, reports[name])
+	}
+	return out, nil
+}
+
 // acceptedResponse is the response to a submission or cancellation that has been stored.
 type acceptedResponse struct {
 	ID identifier.Job `json:"id"`
--- a/internal/jobserver/jobserver_test.go
+++ b/internal/jobserver/jobserver_test.go
@@ -46,6 +46,10 @@
 	return submitter.Reports{}, f.err
 }
 
+func (f *fakeJobs) Teams(context.Context) ([]submitter.TeamUsage, error) {
+	return []submitter.TeamUsage{{Team: "gone", Runs: 2}, {Team: "menders", Runs: 3}}, f.err
+}
+
 // TestCalls checks the status and the body of the response to each call.
 func TestCalls(t *testing.T) {
 	const job = `{"id":"j1","queue":"bills","steps":[{"count":1,"size":{"processors":1000}}]}`
@@ -67,6 +71,10 @@
 		"unknown job":       {http.MethodGet, "/v1/jobs/none", "", nil, 404, "notFound"},
 		"list":              {http.MethodGet, "/v1/jobs?state=running", "", nil, 200, "jobs"},
 		"list fails":        {http.MethodGet, "/v1/jobs", "", refuser.New(refuser.CodeNotReady, "no holder"), 503, "notReady"},
+		"team":              {http.MethodGet, "/v1/teams", "", nil, 200, `{"team":"menders","used":{"processors":0,"memory":0,"accelerators":0},"runs":3,"readyTasks":0,"inForce":true,"weight":2,"limit":{"processors":5000,`},
+		"idle team":         {http.MethodGet, "/v1/teams", "", nil, 200, `{"team":"idle","used":{"processors":0,"memory":0,"accelerators":0},"runs":0,"readyTasks":0,"inForce":true`},
+		"dropped team":      {http.MethodGet, "/v1/teams", "", nil, 200, `"runs":2,"readyTasks":0,"inForce":false`},
+		"teams fail":        {http.MethodGet, "/v1/teams", "", refuser.New(refuser.CodeNotReady, "no holder"), 503, "notReady"},
 		"cancel":            {http.MethodPost, "/v1/jobs/j1/cancel", "{}", nil, 200, `"id":"j1"`},
 		"cancel of unknown": {http.MethodPost, "/v1/jobs/none/cancel", "{}", nil, 404, "notFound"},
 	}
@@ -99,7 +107,9 @@
 func call(t *testing.T, jobs Jobs, method, path, body string) (int, string) {
 	t.Helper()
 	directory := func() connector.Directory {
-		return connector.Directory{Version: 1, Queues: map[identifier.Queue]connector.QueueConfig{"bills": {Name: "bills"}}}
+		return connector.Directory{Version: 1, Queues: map[identifier.Queue]connector.QueueConfig{"bills": {Name: "bills"}}, Teams: map[identifier.Team]connector.TeamConfig{
+			"menders": {Weight: 2, Limit: identifier.Size{Processors: 5000}}, "idle": {Weight: 1},
+		}}
 	}
 	return callWithDirectory(t, jobs, directory, method, path, body)
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -36,6 +36,7 @@
 	MethodJobReport     Method = "jobReport"
 	MethodJobExplain    Method = "jobExplain"
 	MethodJobList       Method = "jobList"
+	MethodTeams         Method = "teams"
 	MethodCellClock     Method = "cellClock"
 	MethodConfig        Method = "config"
 )
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -72,6 +72,19 @@
 	return errors.Wrapf(err, "create counter %s", name)
 }
 
+// RegisterTeamGauge registers a gauge with a value for each team, which are obtained by calling read
+// at every scrape.
+func (m *Meter) RegisterTeamGauge(name, description string, read func() map[identifier.Team]int64) error {
+	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for team, v := range read() {
+				o.Observe(v, metric.WithAttributes(attribute.String("team", string(team))))
+			}
+			return nil
+		}))
+	return errors.Wrapf(err, "create gauge %s", name)
+}
+
 // RecordRequest records a finished request: its duration, how often it was sent to a minion, and
 // "ok" or the refusal code as its code.
 func (m *Meter) RecordRequest(service *parser.Service, code string, sends int, took time.Duration) {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -102,7 +102,7 @@
 	queue connector.QueueConfig
 	// configVersion is the version of the configuration by which the job was accepted; zero if unknown.
 	configVersion identifier.ConfigVersion
-	// team is the team that submitted the job; nil if it is not known.
+	// team is the team that submitted the job, or teams.none.
 	team *team
 	// queueSubmitted is set if the submission carried the queue's configuration.
 	queueSubmitted bool
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -182,7 +182,7 @@
 		cancelled:     map[identifier.Job]identifier.UnixMillis{},
 		scheduled:     map[*job]struct{}{},
 		waiting:       map[*job]struct{}{},
-		teams:         teams{byName: map[identifier.Team]*team{}},
+		teams:         newTeams(),
 		workers:       map[identifier.Worker]*worker{},
 		unpolled:      map[*worker]struct{}{},
 		suspects:      map[*worker]struct{}{},
--- a/internal/planner/quota.go
+++ b/internal/planner/quota.go
@@ -5,8 +5,12 @@
 
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
 )
 
+// defaultWeight is the weight of a team whose configuration is not known or gives none.
+const defaultWeight = 1
+
 // team is what the planner knows of a team that has submitted jobs.
 type team struct {
 	name   identifier.Team
@@ -26,18 +30,24 @@
 // teams are the teams that have jobs in the cell.
 type teams struct {
 	byName map[identifier.Team]*team
+	// none stands for the team of jobs whose team is not known; it has no limit.
+	none *team
 	// version is the version of the configuration that they were last updated from.
 	version identifier.ConfigVersion
 }
 
-// teamOf returns the team with a name, or nil for an empty name.
+func newTeams() teams {
+	return teams{byName: map[identifier.Team]*team{}, none: &team{known: true}}
+}
+
+// teamOf returns the team with a name; an empty name has none.
 func (p *Planner) teamOf(name identifier.Team) *team {
 	if name == "" {
-		return nil
+		return p.teams.none
 	}
 	t, ok := p.teams.byName[name]
 	if !ok {
-		t = &team{name: name, config: connector.TeamConfig{Weight: 1}}
+		t = &team{name: name, config: connector.TeamConfig{Weight: defaultWeight}}
 		p.teams.byName[name] = t
 		p.updateTeam(t)
 	}
@@ -59,15 +69,15 @@
 	if cfg, ok := p.directory.Teams[t.name]; ok {
 		t.config, t.known = cfg, true
 		t.limit = cfg.Share(p.settings.Cells)
+		if t.config.Weight <= 0 {
+			t.config.Weight = defaultWeight
+		}
 	}
 }
 
 // countUsage adds the size of a run to the usage of its team if sign is 1, and subtracts it if -1.
 func countUsage(r *run, sign int) {
 	t := r.task.group.job.team
-	if t == nil {
-		return
-	}
 	t.runs += sign
 	if sign > 0 {
 		t.used = t.used.Add(r.size)
@@ -82,8 +92,6 @@
 func (p *Planner) quotaAdmits(j *job, size identifier.Size, n int) bool {
 	t := j.team
 	switch {
-	case t == nil:
-		return true
 	case !t.known && j.configVersion > p.directory.Version:
 		// The limit is in a configuration that this host has not read yet.
 		return false
@@ -98,7 +106,7 @@
 // one of several.
 func exceedsQuota(r *run) bool {
 	t := r.task.group.job.team
-	return t != nil && t.runs > 1 && !connector.WithinLimit(t.used, t.limit)
+	return t.runs > 1 && !connector.WithinLimit(t.used, t.limit)
 }
 
 // explainQuota says what the limit of a team leaves to its jobs.
@@ -107,27 +115,15 @@
 		t.name, t.used.Processors, t.used.Memory, t.used.Accelerators, connector.DescribeLimit(t.limit))
 }
 
-// TeamStats is the usage of a team in a cell.
-type TeamStats struct {
-	Team   identifier.Team `json:"team"`
-	Weight float64         `json:"weight"`
-	// Limit is the cell's share of the team's limit; a resource of zero has no limit.
-	Limit identifier.Size `json:"limit"`
-	Used  identifier.Size `json:"used"`
-	Runs  int             `json:"runs"`
-	// ReadyTasks are the tasks that wait for a worker or for the limit.
-	ReadyTasks int `json:"readyTasks"`
-}
-
-// TeamStats returns the usage of all teams that have jobs, in no particular order.
-func (p *Planner) TeamStats() []TeamStats {
+// Teams returns the usage of all teams that have or had jobs, in no particular order.
+func (p *Planner) Teams() []submitter.TeamUsage {
 	ready := map[*team]int{}
 	for j := range p.waiting {
 		ready[j.team] += j.readyTasks
 	}
-	out := make([]TeamStats, 0, len(p.teams.byName))
+	out := make([]submitter.TeamUsage, 0, len(p.teams.byName))
 	for _, t := range p.teams.byName {
-		out = append(out, TeamStats{t.name, t.config.Weight, t.limit, t.used, t.runs, ready[t]})
+		out = append(out, submitter.TeamUsage{Team: t.name, Used: t.used, Runs: t.runs, ReadyTasks: ready[t]})
 	}
 	return out
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -26,6 +26,7 @@
 	"github.com/balsamcove/balsamcove/internal/renewer"
 	"github.com/balsamcove/balsamcove/internal/uptimer"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
 )
 
 // termRestartDelay is the pause before a failed term is replaced by a new one.
@@ -196,6 +197,19 @@
 	return out
 }
 
+// Teams returns the usage of the teams in each cell that this host holds. A team may be in several.
+func (s *Supervisor) Teams() []submitter.TeamUsage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []submitter.TeamUsage
+	for _, t := range s.terms {
+		// A term that does not hold its cell yet, or no more, has no usage to tell.
+		teams, _ := t.term.Teams()
+		out = append(out, teams...)
+	}
+	return out
+}
+
 // Run serves other hosts and callers until ctx ends, and holds cells until scheduling ends, which
 // may be earlier. It returns the first error of a component, or nil.
 func (s *Supervisor) Run(ctx, scheduling context.Context) error {
--- a/pkg/client/job.go
+++ b/pkg/client/job.go
@@ -46,4 +46,10 @@
 	return callJSON[submitter.ConfigReport](ctx, c, consts.MethodGet, "/v1/directory", nil)
 }
 
+// Teams returns the teams of the configuration in force, and those that still have jobs, with what
+// they use.
+func (c *Client) Teams(ctx context.Context) (submitter.TeamReports, error) {
+	return callJSON[submitter.TeamReports](ctx, c, consts.MethodGet, "/v1/teams", nil)
+}
+
 func jobPath(id identifier.Job) string { return "/v1/jobs/" + url.PathEscape(string(id)) }
