Teams share a full cell by weight

Cause: when all is full the order of service knew no teams, so a team that sends many times its usual took the room of others.

In each pass the cell is divided among the teams with ready tasks by weighted max-min fairness over dominant shares, from the runs that they hold. Of each priority, the first jobs of teams with nothing running come first, then the jobs within their teams' shares, then the surplus. With less than two teams, or room for all, the order is as before.

Ruled out: virtual finish times, which a takeover would have to store.

--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -96,6 +96,8 @@
 	usable  []*worker
 	noFit   map[demand][]noFitEntry
 	maxRoom map[identifier.Service]serviceRoom
+	// capacity is the total of the usable workers.
+	capacity identifier.Size
 	// retryAfter is for how long a size without room is not tried again for scavengers. Other tasks
 	// are tried again in the next pass.
 	retryAfter time.Duration
@@ -130,12 +132,13 @@
 	}
 	cache.retryAfter = min(time.Duration(len(p.workers)*(len(cache.noFit)+1))*retryPerCheck, maxRetryAfter)
 	cache.maxRoom = map[identifier.Service]serviceRoom{}
-	cache.usable = cache.usable[:0]
+	cache.usable, cache.capacity = cache.usable[:0], identifier.Size{}
 	for _, w := range p.workerList {
 		if !p.usable(w) {
 			continue
 		}
 		cache.usable = append(cache.usable, w)
+		cache.capacity = cache.capacity.Add(w.entry.Capacity)
 		m := cache.maxRoom[w.entry.Service]
 		m.room = m.room.Max(w.room())
 		m.spare = max(m.spare, w.spare())
--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -148,6 +148,10 @@
 	job      *job
 	lateness lateness
 	begun    bool
+	// asked is the share of the cell that the ready tasks ask for, and standing the job's position
+	// among those of its priority when teams compete.
+	asked    float64
+	standing standing
 }
 
 // waitingJobsInOrder returns the jobs with ready tasks in the order of service.
@@ -155,7 +159,7 @@
 	ranked := make([]rankedJob, 0, len(p.waiting))
 	clear(p.contention)
 	for j := range p.waiting {
-		r := rankedJob{j, p.latenessOf(j), j.begun()}
+		r := rankedJob{job: j, lateness: p.latenessOf(j), begun: j.begun()}
 		ranked = append(ranked, r)
 		p.noteContention(r)
 	}
@@ -165,6 +169,7 @@
 		}
 		return 1
 	})
+	p.deferSurplus(ranked)
 	jobs := make([]*job, len(ranked))
 	for i, r := range ranked {
 		jobs[i] = r.job
--- a/internal/planner/quota.go
+++ b/internal/planner/quota.go
@@ -25,6 +25,8 @@
 	// are being stopped.
 	used identifier.Size
 	runs int
+	// claim is the team's part in the last division of the cell.
+	claim claimant
 }
 
 // teams are the teams that have jobs in the cell.
@@ -34,6 +36,9 @@
 	none *team
 	// version is the version of the configuration that they were last updated from.
 	version identifier.ConfigVersion
+	// pass counts the divisions of the cell, and claims is reused by them.
+	pass   uint64
+	claims []*claimant
 }
 
 func newTeams() teams {
