--- a/internal/planner/previewer.go
+++ b/internal/planner/previewer.go
@@ -31,10 +31,10 @@
 
 // jobsAhead counts the jobs with ready tasks that are served before a job.
 func (p *Planner) jobsAhead(j *job) int {
-	own := rankedJob{j, p.latenessOf(j), j.begun()}
+	own := rankedJob{job: j, lateness: p.latenessOf(j), begun: j.begun()}
 	n := 0
 	for other := range p.waiting {
-		if servedBefore(rankedJob{other, p.latenessOf(other), other.begun()}, own) {
+		if servedBefore(rankedJob{job: other, lateness: p.latenessOf(other), begun: other.begun()}, own) {
 			n++
 		}
 	}
