Serving tasks leave places to tasks that end, by their demand

Ruled out by the logs of the holder: shortage by batch work (scavengers reserve nothing), the limit of starts, the store.

--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -213,6 +213,9 @@
 	uptime time.Duration
 }
 
+// readAt relates a time of the runtime's clock that has passed to the uptime.
+func (t *Term) readAt(now time.Time) renewer.Reading { return renewer.ReadAt(now, t.uptime) }
+
 // CellClock returns the current reading of the cell's clock, for other hosts to observe; ok is
 // false before the takeover is stored. It never waits for a pass of the planner.
 func (t *Term) CellClock() (r renewer.ClockReading, ok bool) {
@@ -327,6 +330,16 @@
 	return t.planner.List(s), nil
 }
 
+// Teams returns the usage of the teams that have jobs in the cell, or ErrNotHolder.
+func (t *Term) Teams() ([]submitter.TeamUsage, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.planner == nil || !t.unpaused() {
+		return nil, ErrNotHolder
+	}
+	return t.planner.Teams(), nil
+}
+
 // queryJob calls get for a job. If the job is unknown, it reads the newest records of the inbox
 // and tries again, since the job may just have been submitted.
 func queryJob[T any](ctx context.Context, t *Term, id identifier.Job, get func(*planner.Planner, identifier.Job) (T, bool)) (out T, ok bool, err error) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -40,6 +40,7 @@
 	Explain(ctx context.Context, id identifier.Job) (e submitter.Explanation, known bool, err error)
 	List(s submitter.Selection) (submitter.Reports, error)
 	Preview(job submitter.Job, queue connector.QueueConfig) (submitter.Preview, error)
+	Teams() ([]submitter.TeamUsage, error)
 }
 
 // Service accepts jobs and cancellations on one host, and answers queries by asking the holders
@@ -195,6 +196,8 @@
 		return s.handleList(params)
 	case messenger.MethodJobPreview:
 		return s.handlePreview(params)
+	case messenger.MethodTeams:
+		return s.handleTeams(params)
 	default:
 		return nil, refuser.New(refuser.CodeInvalid, "unknown method %q", method)
 	}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -37,6 +37,7 @@
 	MethodJobExplain    Method = "jobExplain"
 	MethodJobList       Method = "jobList"
 	MethodJobPreview    Method = "jobPreview"
+	MethodTeams         Method = "teams"
 	MethodCellClock     Method = "cellClock"
 	MethodConfig        Method = "config"
 )
--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -83,9 +83,7 @@
 		h.update(float64(s.processors), s.tasks, float64(s.capacity), kept)
 	}
 	for _, w := range p.placementCache.usable {
-		if h := p.headrooms.byService[w.entry.Service]; h.needed > 0 {
-			h.free += h.places(w.entry.Capacity.Processors - w.servingCPU)
-		}
+		p.countPlaces(w, 1)
 	}
 }
 
@@ -109,6 +107,14 @@
 	}
 }
 
+// countPlaces adds the places that serving tasks leave on a worker to those of its service if sign is 1,
+// and subtracts them if -1.
+func (p *Planner) countPlaces(w *worker, sign int) {
+	if h := p.headrooms.byService[w.entry.Service]; h != nil && h.needed > 0 {
+		h.free += sign * h.places(w.entry.Capacity.Processors-w.servingCPU)
+	}
+}
+
 // places returns how many plain tasks fit into processors.
 func (h *headroom) places(processors identifier.Millicores) int {
 	return max(int(float64(processors)/h.taskSize), 0)
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -43,6 +43,8 @@
 	confirmedAt time.Time
 	// startedAt is when this holder claimed, restored or adopted the run.
 	startedAt time.Time
+	// readyAt is since when the task was ready as the run was claimed.
+	readyAt time.Time
 	// startTries counts the starts sent.
 	startTries int
 	// maybeDelivered is set once a start may have reached the worker.
@@ -192,7 +194,7 @@
 	w, ok := p.workers[id]
 	if !ok {
 		w = &worker{
-			id: id, runs: map[connector.RunID]*run{}, leaseEnd: p.leases.InheritedExpiry(id, p.now), sequence: p.sequenceFloor + 1,
+			id: id, runs: map[connector.RunID]*run{}, leaseEnd: p.leases.InheritedExpiry(id), sequence: p.sequenceFloor + 1,
 			servingByImage: map[identifier.Image]int{}, scavengersByImage: map[identifier.Image]int{},
 			scavengerShares: estimator.Load{}, baselineSlacks: map[identifier.Image]estimator.Slack{}, slack: ampleSlack,
 		}
@@ -227,10 +229,11 @@
 	return p.reserveLease(w)
 }
 
-// reserveLease moves leaseEnd to the end of a lease that begins now, allowing for a worker clock that
-// runs slow, and returns that end by the worker's clock.
+// reserveLease moves leaseEnd to the end of a lease that begins now and returns that end by the worker's
+// clock. That clock may have run slow since its last reading; it is taken to have done so, since
+// successors wait for a lease from now on, however old the reading is.
 func (p *Planner) reserveLease(w *worker) connector.WorkerClock {
-	until := w.clock + connector.WorkerClock(p.now.Sub(w.clockAt)+p.settings.Lease)
+	until := w.clock + connector.WorkerClock(leastAdvance(p.now.Sub(w.clockAt))+p.settings.Lease)
 	w.leaseEnd = later(w.leaseEnd, w.clockAt.Add(bySlowClock(time.Duration(until-w.clock))))
 	w.requestedLease = max(w.requestedLease, until)
 	return until
@@ -283,7 +286,7 @@
 
 // silenceOf returns for how long a worker has not been heard from, by this holder or earlier ones.
 func (p *Planner) silenceOf(w *worker) renewer.Silence {
-	return p.leases.Silence(w.id, w.heardAt, p.now)
+	return p.leases.Silence(w.id, w.heardAt)
 }
 
 // sinceOrNever returns the time passed since at, or -1 if at is zero.
@@ -308,7 +311,9 @@
 	p.countImage(w, r.task.group.step, 1)
 	w.runs[r.id] = r
 	r.worker = w
+	p.countPlaces(w, -1)
 	w.adjustUsage(r, 1)
+	p.countPlaces(w, 1)
 	countUsage(r, 1)
 }
 
@@ -319,7 +324,9 @@
 	}
 	p.countImage(w, r.task.group.step, -1)
 	delete(w.runs, r.id)
+	p.countPlaces(w, -1)
 	w.adjustUsage(r, -1)
+	p.countPlaces(w, 1)
 	countUsage(r, -1)
 }
 
