--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -136,6 +136,9 @@
 	// serving counts the runs of serving tasks, and servingCPU is what they reserve.
 	serving    int
 	servingCPU identifier.Millicores
+	// plain counts the runs of plain tasks that run to completion, and plainCPU is what they reserve.
+	plain    int
+	plainCPU identifier.Millicores
 	// servingByImage and scavengersByImage count the runs of each image.
 	servingByImage    map[identifier.Image]int
 	scavengersByImage map[identifier.Image]int
@@ -308,7 +311,9 @@
 	p.countImage(w, r.task.group.step, 1)
 	w.runs[r.id] = r
 	r.worker = w
+	p.countPlaces(w, -1)
 	w.adjustUsage(r, 1)
+	p.countPlaces(w, 1)
 	countUsage(r, 1)
 }
 
@@ -319,7 +324,9 @@
 	}
 	p.countImage(w, r.task.group.step, -1)
 	delete(w.runs, r.id)
+	p.countPlaces(w, -1)
 	w.adjustUsage(r, -1)
+	p.countPlaces(w, 1)
 	countUsage(r, -1)
 }
 
@@ -336,6 +343,10 @@
 		w.serving += int(sign)
 		w.servingCPU += identifier.Millicores(sign) * size.Processors
 	}
+	if isPassing(r.task.group) {
+		w.plain += int(sign)
+		w.plainCPU += identifier.Millicores(sign) * size.Processors
+	}
 	if sign > 0 {
 		w.used = w.used.Add(size)
 		return
