Bound how long a peer that does not read blocks its senders

Cause: a write to a connection had no limit, and closing the connection waited for it.

TestPeersThatDoNotReadAreDisconnected failed before (a deadlock where the peer does not read).

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -132,9 +132,11 @@
 func (s *Server) closePeers() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var closing sync.WaitGroup
 	for p := range s.peers {
-		p.Close()
+		closing.Go(p.Close)
 	}
+	closing.Wait()
 }
 
 // handleCall answers a call with the result or the refusal of handler; from is the connection over
@@ -167,9 +169,17 @@
 	closeOnTimeout bool
 
 	mu    sync.Mutex
-	conns map[string]*jsonrpc2.Conn
+	conns map[string]clientConn
 }
 
+// clientConn is a connection of a Client.
+type clientConn struct {
+	*jsonrpc2.Conn
+	raw net.Conn
+}
+
+func (c clientConn) close() { closeConn(c.Conn, c.raw) }
+
 // ClientOption configures a Client.
 type ClientOption func(*Client)
 
@@ -180,7 +190,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(opts ...ClientOption) *Client {
-	c := &Client{conns: map[string]*jsonrpc2.Conn{}}
+	c := &Client{conns: map[string]clientConn{}}
 	for _, o := range opts {
 		o(c)
 	}
@@ -212,14 +222,16 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var closing sync.WaitGroup
 	for _, conn := range c.conns {
-		_ = conn.Close()
+		closing.Go(conn.close)
 	}
+	closing.Wait()
 	clear(c.conns)
 }
 
 // conn returns the open connection to the host at an address, or opens one.
-func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (c *Client) conn(ctx context.Context, address string) (clientConn, error) {
 	c.mu.Lock()
 	conn, ok := c.conns[address]
 	c.mu.Unlock()
@@ -236,33 +248,34 @@
 
 // dial opens a connection that answers no calls of the other side. If another goroutine has opened
 // one meanwhile, it returns that one.
-func (c *Client) dial(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (c *Client) dial(ctx context.Context, address string) (clientConn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, errors.Wrapf(err, "dial peer %s", address)
+		return clientConn{}, errors.Wrapf(err, "dial peer %s", address)
 	}
+	raw = boundedConn{raw}
 	noCalls := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound}
 	})
-	conn := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(raw, jsonrpc2.VSCodeObjectCodec{}), noCalls, withoutLogs())
+	conn := clientConn{jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(raw, jsonrpc2.VSCodeObjectCodec{}), noCalls, withoutLogs()), raw}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other, ok := c.conns[address]; ok {
-		_ = conn.Close()
+		conn.close()
 		return other, nil
 	}
 	c.conns[address] = conn
 	return conn, nil
 }
 
-func (c *Client) drop(address string, conn *jsonrpc2.Conn) {
+func (c *Client) drop(address string, conn clientConn) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.conns[address] == conn {
 		delete(c.conns, address)
 	}
-	_ = conn.Close()
+	c.mu.Unlock()
+	conn.close()
 }
 
 // refusalOf returns the *refuser.Refusal of a JSON-RPC error, or an error marked
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -62,5 +62,5 @@
 // Done returns a channel that is closed once the connection is closed.
 func (p Peer) Done() <-chan struct{} { return p.conn.DisconnectNotify() }
 
-// Close closes the connection.
-func (p Peer) Close() { _ = p.conn.Close() }
+// Close closes the connection, at most closeTimeout later if messages are being written.
+func (p Peer) Close() { closeConn(p.conn, p.stream.raw) }
--- a/internal/messenger/stream.go
+++ b/internal/messenger/stream.go
@@ -84,6 +84,7 @@
 // newPeer starts a JSON-RPC connection over raw. Calls and batches of the other side are passed to
 // the handlers; batchHandler may be nil.
 func newPeer(ctx context.Context, raw net.Conn, calls Handler, batchHandler BatchHandler) Peer {
+	raw = boundedConn{raw}
 	s := &stream{
 		raw: raw, batchHandler: batchHandler, ready: make(chan struct{}),
 		reader: bufio.NewReaderSize(raw, streamBufferBytes), writer: bufio.NewWriterSize(raw, streamBufferBytes),
