--- a/internal/planner/end.go
+++ b/internal/planner/end.go
@@ -68,6 +68,10 @@
 		p.taskSucceeded(t)
 		return
 	case connector.EndFailed:
+		if t.phase == taskDone {
+			// A copy was done first.
+			return
+		}
 		if t.restarts == 0 {
 			p.blame(w, t)
 		}
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -175,12 +176,35 @@
 	}
 }
 
-// evict stops an active run so that its task can run elsewhere.
-func (p *Planner) evict(r *run) {
-	if r.phase == runActive && !r.unwanted {
+// evict stops an active run so that its task can run elsewhere, unless too many other tasks of its step are
+// unavailable. It reports whether the run is being stopped.
+func (p *Planner) evict(r *run) bool {
+	if r.phase == runActive && !r.unwanted && r.task.mayBecomeUnavailable(r) {
 		r.unwanted = true
 		p.stop(r)
 	}
+	return r.unwanted
+}
+
+// mayBecomeUnavailable reports whether a run of the task may be stopped by the MaxUnavailable of its step. That is
+// always so if the task is unavailable already, or will be as its worker drains.
+func (t *task) mayBecomeUnavailable(r *run) bool {
+	step := t.group.step
+	if !step.LongRunning || step.MaxUnavailable == 0 || !r.inService() || r.worker.entry.Draining {
+		return true
+	}
+	unavailable := 0
+	for i := range t.group.tasks {
+		if other := &t.group.tasks[i]; other != t && !slices.ContainsFunc(other.runs, (*run).inService) {
+			unavailable++
+		}
+	}
+	return unavailable < step.MaxUnavailable
+}
+
+// inService reports whether a run of a long-running task has finished starting and goes on.
+func (r *run) inService() bool {
+	return r.phase == runActive && !r.unwanted && r.percent >= fullProgress
 }
 
 // workerReplaced handles an answer by another worker at this worker's address: this one has exited,
--- a/internal/planner/pacer.go
+++ b/internal/planner/pacer.go
@@ -132,7 +132,7 @@
 }
 
 // paceImage sets the pace of the scavengers of an image on a worker, for the benefit of a serving
-// image. Below minPace it evicts them, and pauses them until they have stopped.
+// image. Below minPace it evicts them, and pauses them until they have stopped or get a higher pace.
 func (p *Planner) paceImage(w *worker, image, serving identifier.Image, percent int) {
 	for _, r := range w.runs {
 		step := r.task.group.step
@@ -140,9 +140,10 @@
 			continue
 		}
 		if percent < minPace {
-			p.log.RunEvicted(r.id, w.id, serving, w.slack)
 			p.setPace(r, 0)
-			p.evict(r)
+			if p.evict(r) {
+				p.log.RunEvicted(r.id, w.id, serving, w.slack)
+			}
 			continue
 		}
 		p.setPace(r, percent)
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -304,7 +304,7 @@
 		}
 		size.Processors = 0
 	case d.kind == loadServing && !d.restart:
-		size.Processors += identifier.Millicores(servingHeadroom * float64(w.entry.Capacity.Processors))
+		size.Processors = withHeadroom(size.Processors, w.entry.Capacity.Processors)
 	}
 	switch {
 	case !size.Fits(w.room()):
@@ -355,6 +355,12 @@
 // run to completion. A serving task that has run before may use it, so that its outage is short.
 const servingHeadroom = 0.06
 
+// withHeadroom adds to what a serving task reserves what it leaves to others on a worker. A task that an empty worker
+// holds only without that may take all of it.
+func withHeadroom(n, capacity identifier.Millicores) identifier.Millicores {
+	return max(n, min(n+identifier.Millicores(servingHeadroom*float64(capacity)), capacity))
+}
+
 // The weights of a worker's score. The unit is all processors of the worker: a weight of 0.5 counts
 // as much as half of them being spare.
 const (
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -380,6 +380,8 @@
 		return obstacleSilent
 	case w.entry.Unreadable:
 		return obstacleUnreadable
+	case w.entryOfOtherIncarnation():
+		return obstacleOutdatedEntry
 	case w.entry.Draining:
 		return obstacleDraining
 	case p.directory.Evacuated[w.entry.DataCentre]:
@@ -391,6 +393,12 @@
 	}
 }
 
+// entryOfOtherIncarnation reports whether the worker has restarted since its entry was written, or since it last
+// answered. It may have come back with another capacity and other labels.
+func (w *worker) entryOfOtherIncarnation() bool {
+	return w.entry.StartedAt != 0 && w.incarnation != 0 && w.entry.StartedAt != w.incarnation
+}
+
 // usable reports whether a worker may get new runs.
 func (p *Planner) usable(w *worker) bool { return p.workerObstacle(w) == obstacleNone }
 
