--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -38,55 +38,63 @@
 	updatedAt time.Time
 }
 
+// serviceDemand is what the plain tasks that run to completion ask for in a service, and the
+// processors of its usable workers.
+type serviceDemand struct {
+	processors, capacity identifier.Millicores
+	tasks                int
+}
+
 // updateHeadrooms brings the headrooms up to date at the beginning of a pass.
 func (p *Planner) updateHeadrooms() {
-	type sum struct {
-		processors identifier.Millicores
-		tasks      int
-		capacity   identifier.Millicores
-	}
-	sums := map[identifier.Service]*sum{}
-	of := func(s identifier.Service) *sum {
-		if sums[s] == nil {
-			sums[s] = &sum{}
-		}
-		return sums[s]
-	}
-	for _, w := range p.placementCache.usable {
-		s := of(w.entry.Service)
-		s.capacity += w.entry.Capacity.Processors
-		s.processors += w.plainCPU
-		s.tasks += w.plain
-	}
-	for j := range p.waiting {
-		for _, groups := range j.occurrences {
-			for _, g := range groups {
-				if g.readyTasks > 0 && isPassing(g) {
-					s := of(j.queue.Service)
-					s.processors += identifier.Millicores(g.readyTasks) * g.step.Size.Processors
-					s.tasks += g.readyTasks
-				}
-			}
-		}
-	}
 	if p.headrooms.byService == nil {
 		p.headrooms.byService = map[identifier.Service]*headroom{}
 	}
 	kept := math.Exp(-float64(p.now.Sub(p.headrooms.updatedAt)) / float64(demandMemory))
 	p.headrooms.updatedAt = p.now
-	for service, s := range sums {
+	for service, d := range p.measureDemand() {
 		h := p.headrooms.byService[service]
 		if h == nil {
 			h = &headroom{}
 			p.headrooms.byService[service] = h
 		}
-		h.update(float64(s.processors), s.tasks, float64(s.capacity), kept)
+		h.update(d, kept)
 	}
 	for _, w := range p.placementCache.usable {
 		p.countPlaces(w, 1)
 	}
 }
 
+// measureDemand returns the present demand of each service with usable workers.
+func (p *Planner) measureDemand() map[identifier.Service]*serviceDemand {
+	demands := map[identifier.Service]*serviceDemand{}
+	for _, w := range p.placementCache.usable {
+		d := demands[w.entry.Service]
+		if d == nil {
+			d = &serviceDemand{}
+			demands[w.entry.Service] = d
+		}
+		d.capacity += w.entry.Capacity.Processors
+		d.processors += w.plainCPU
+		d.tasks += w.plain
+	}
+	for j := range p.waiting {
+		d := demands[j.queue.Service]
+		if d == nil {
+			continue
+		}
+		for _, groups := range j.occurrences {
+			for _, g := range groups {
+				if g.readyTasks > 0 && isPassing(g) {
+					d.processors += identifier.Millicores(g.readyTasks) * g.step.Size.Processors
+					d.tasks += g.readyTasks
+				}
+			}
+		}
+	}
+	return demands
+}
+
 // noteDemand keeps the headrooms up to date while no task waits.
 func (p *Planner) noteDemand() {
 	if p.now.Sub(p.headrooms.updatedAt) >= demandInterval {
@@ -95,15 +103,15 @@
 	}
 }
 
-// update takes the present demand of tasks; kept is the weight of the past one.
-func (h *headroom) update(demand float64, tasks int, capacity, kept float64) {
-	h.demand = max(demand, h.demand*kept)
-	if tasks > 0 {
-		h.taskSize = h.taskSize*kept + demand/float64(tasks)*(1-kept)
+// update takes the present demand; kept is the weight of the past one.
+func (h *headroom) update(d *serviceDemand, kept float64) {
+	h.demand = max(float64(d.processors), h.demand*kept)
+	if d.tasks > 0 {
+		h.taskSize = h.taskSize*kept + float64(d.processors)/float64(d.tasks)*(1-kept)
 	}
 	h.needed, h.free = 0, 0
 	if h.taskSize > 0 {
-		h.needed = int(math.Round(min(h.demand, maxHeadroom*capacity) / h.taskSize))
+		h.needed = int(math.Round(min(h.demand, maxHeadroom*float64(d.capacity)) / h.taskSize))
 	}
 }
 
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -80,13 +80,7 @@
 		if set == nil || set.demand != lastDemand {
 			set = p.newCandidateSet(t, lastDemand)
 		}
-		w := p.bestCandidate(t, set)
-		if w != nil && p.waitsForDataRack(t, w) {
-			g.nearWaits++
-			p.nearWaits++
-			continue
-		}
-		p.claimIfFound(t, w, lastDemand, cache)
+		p.claimIfFound(t, p.bestCandidate(t, set), lastDemand, cache)
 	}
 }
 
@@ -262,7 +256,8 @@
 	}
 }
 
-// claimIfFound claims worker w for a task, or records that there was no room if w is nil.
+// claimIfFound claims worker w for a task unless waiting for the rack of its data pays, or records that
+// there was no room if w is nil.
 func (p *Planner) claimIfFound(t *task, w *worker, d demand, cache *placementCache) {
 	step := t.group.step
 	if w == nil {
@@ -272,6 +267,11 @@
 		}
 		return
 	}
+	if p.waitsForDataRack(t, w) {
+		t.group.nearWaits++
+		p.nearWaits++
+		return
+	}
 	p.claim(t, w, t.attempt+1)
 }
 
@@ -324,10 +324,12 @@
 	switch {
 	case !size.Fits(w.room()):
 		return obstacleRoom
-	case d.longRunning && !d.restart && p.shortages.withholds(t, w):
-		return obstacleShortage
-	case d.kind == loadServing && !d.restart && !d.neglected && p.withholdsFrom(w, step.Size):
-		return obstacleHeadroom
+	case d.longRunning && !d.restart:
+		if o := p.withheldRoom(t, w, d); o != obstacleNone {
+			return o
+		}
+	}
+	switch {
 	case step.Label != "" && !slices.Contains(w.entry.Labels, step.Label):
 		return obstacleLabel
 	case step.MaxPerWorker > 0 && p.groupRunsOn(t.group, w) >= step.MaxPerWorker:
@@ -341,6 +343,19 @@
 	return p.adviceObstacle(t.group, w)
 }
 
+// withheldRoom returns for whom the room of a worker is kept that a long-running task may not take for
+// its first run, if for anyone.
+func (p *Planner) withheldRoom(t *task, w *worker, d demand) obstacle {
+	switch {
+	case p.shortages.withholds(t, w):
+		return obstacleShortage
+	case d.kind == loadServing && !d.neglected && p.withholdsFrom(w, t.group.step.Size):
+		return obstacleHeadroom
+	default:
+		return obstacleNone
+	}
+}
+
 // adviceObstacle returns what keeps a step of an advised queue off a worker: the adviser has ruled
 // the worker out, or has granted no permit for it yet. Steps of other queues need no permit.
 func (p *Planner) adviceObstacle(g *taskGroup, w *worker) obstacle {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -398,6 +398,8 @@
 		"gang without room":       {submitter.Step{Count: 5, Size: smallSize, Gang: true}, nil, 0},
 		"long-running, too large": {submitter.Step{Count: 1, Size: identifier.Size{Processors: 4001}, LongRunning: true, TailTarget: 1}, nil, 0},
 		"long-running, a worker":  {submitter.Step{Count: 1, Size: full, LongRunning: true, TailTarget: 1}, nil, 1},
+		"serving, whole worker":   {submitter.Step{Count: 2, Size: full, LongRunning: true, TailTarget: 1}, nil, 1},
+		"serving, most of one":    {submitter.Step{Count: 2, Size: identifier.Size{Processors: 3900}, LongRunning: true, TailTarget: 1}, nil, 1},
 		"long-running, with room": {submitter.Step{Count: 1, Size: smallSize, LongRunning: true, TailTarget: 1}, nil, 1},
 	}
 	for name, tt := range tests {
