Jobs beyond a team's rate are surplus when teams compete

What a team sends beyond is still accepted, and runs where there is room. Counted by the second of acceptance, so that a takeover, which brings jobs in another order, counts as many.

Ruled out: a token bucket, whose result depends on the order of arrival.

--- a/internal/connector/runner.go
+++ b/internal/connector/runner.go
@@ -211,6 +211,9 @@
 type TeamConfig struct {
 	// Weight is the team's share, relative to the weights of others, when there is no room for all.
 	Weight float64 `json:"weight"`
+	// Rate is how many jobs a second the team may submit that are served within its share; zero is no
+	// bound. Jobs beyond it are accepted, and are surplus when there is no room for all.
+	Rate float64 `json:"rate,omitempty"`
 	// Limit bounds the total size of the team's runs on all workers. A resource of zero has no limit.
 	Limit identifier.Size `json:"limit"`
 }
--- a/internal/planner/fairness.go
+++ b/internal/planner/fairness.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/balsamcove/balsamcove/pkg/identifier"
@@ -28,6 +29,23 @@
 	noUse
 )
 
+// maxSubmissionSeconds bounds the seconds for which a team's submissions are counted.
+const maxSubmissionSeconds = 16
+
+// countSubmission counts a job by the second in which it was accepted, and reports whether the team
+// had submitted as many in that second as its rate allows. A takeover brings jobs in any order.
+func (t *team) countSubmission(at identifier.UnixMillis) (exceedsRate bool) {
+	if t.config.Rate <= 0 {
+		return false
+	}
+	second := at.Time().Unix()
+	if _, ok := t.submitted[second]; !ok && len(t.submitted) >= maxSubmissionSeconds {
+		delete(t.submitted, slices.Min(slices.Collect(maps.Keys(t.submitted))))
+	}
+	t.submitted[second]++
+	return float64(t.submitted[second]) > max(t.config.Rate, 1)
+}
+
 // dominantShare returns the largest fraction that a size takes of any resource of capacity.
 func dominantShare(size, capacity identifier.Size) float64 {
 	return max(fraction(size.Processors, capacity.Processors), fraction(size.Memory, capacity.Memory),
@@ -102,7 +120,7 @@
 		return firstOfIdleTeam
 	case r.lateness == tooLate:
 		return noUse
-	case before >= c.owed:
+	case before >= c.owed || r.job.exceedsRate:
 		return surplus
 	default:
 		return withinShare
--- a/internal/planner/fairness_test.go
+++ b/internal/planner/fairness_test.go
@@ -185,3 +185,39 @@
 		})
 	}
 }
+
+// TestJobsBeyondTheRateAreSurplus checks that a team which submits more than its rate allows is served
+// within its share for that many, also if a new holder reads the jobs in another order.
+func TestJobsBeyondTheRateAreSurplus(t *testing.T) {
+	tests := map[string]struct {
+		rate  float64
+		order []int64
+		want  int
+	}{
+		"no bound":           {0, []int64{0, 1, 2, 3}, 0},
+		"within":             {4, []int64{0, 1, 2, 3}, 0},
+		"beyond":             {2, []int64{0, 1, 2, 3}, 2},
+		"less than one":      {0.1, []int64{0, 1, 2, 3}, 3},
+		"two seconds":        {2, []int64{0, 1, 1000, 1001}, 0},
+		"in another order":   {2, []int64{1001, 3, 1000, 2, 1, 1002}, 2},
+		"many seconds, late": {1, []int64{0, 1000, 2000, 3000, 4000, 5000, 6000, 7000, 8000, 9000, 10000, 11000, 12000, 13000, 14000, 15000, 16000, 17000, 17001, 16001}, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := quotaTestbed(t, 0, workerEntry("w"))
+			b.dir.Version++
+			b.dir.Teams = map[identifier.Team]connector.TeamConfig{"t": {Weight: 1, Rate: tt.rate}}
+			got := 0
+			for i, at := range tt.order {
+				id := identifier.Job(fmt.Sprintf("%016x", i))
+				b.update(0, JobSubmitted{Job: submitter.Job{ID: id, Queue: queue, Steps: []submitter.Step{{Count: 1, Size: smallSize}}}, Queue: queueConfig, Team: "t", At: identifier.UnixMillis(at)})
+				if b.p.jobs[id].exceedsRate {
+					got++
+				}
+			}
+			if got != tt.want {
+				t.Errorf("%d jobs exceed the rate, want %d", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -104,6 +104,8 @@
 	configVersion identifier.ConfigVersion
 	// team is the team that submitted the job, or teams.none.
 	team *team
+	// exceedsRate is set if the team had submitted as many jobs before as its rate allows.
+	exceedsRate bool
 	// queueSubmitted is set if the submission carried the queue's configuration.
 	queueSubmitted bool
 
--- a/internal/planner/quota.go
+++ b/internal/planner/quota.go
@@ -25,6 +25,8 @@
 	// are being stopped.
 	used identifier.Size
 	runs int
+	// submitted counts the jobs by the second of their acceptance.
+	submitted map[int64]int
 	// claim is the team's part in the last division of the cell.
 	claim claimant
 }
@@ -52,7 +54,7 @@
 	}
 	t, ok := p.teams.byName[name]
 	if !ok {
-		t = &team{name: name, config: connector.TeamConfig{Weight: defaultWeight}}
+		t = &team{name: name, config: connector.TeamConfig{Weight: defaultWeight}, submitted: map[int64]int{}}
 		p.teams.byName[name] = t
 		p.updateTeam(t)
 	}
