Calls for advice do not queue at the adviser

Cause: the holder kept eight calls in flight and gave each up after 4 s, whatever the queue's decideMs and perWorkerMs. The adviser handles the calls of a host one at a time, so that a burst of submissions brought most calls to their time limit just before their turn; they were made again at the end of the line. Ruled out: a longer fixed time limit, which only moves the size of the burst that fails.

Change: one call in flight, two if a call takes less than 150 ms; the next goes to the first step in the order of service. The time limit follows from the durations in the configuration, which are decoded leniently, and the workers named in all calls in flight; it doubles while answers come later. An overdue call no longer holds back the next, up to eight in all. A call covers as many workers as are likely to be needed. Steps whose answers are of no use wait before they ask again.

--- a/internal/connector/runner.go
+++ b/internal/connector/runner.go
@@ -195,6 +195,17 @@
 	Allowance identifier.Duration `cbor:"6,keyasint,omitempty" json:"allowance"`
 	// Advised is set if the placement adviser decides which workers may run a step.
 	Advised bool `cbor:"7,keyasint,omitempty" json:"advised"`
+	// Advice holds the durations of the adviser's calls for an advised queue.
+	Advice AdviceDurations `cbor:"8,keyasint,omitempty" json:"advice"`
+}
+
+// AdviceDurations describes the calls of the placement adviser. A call takes Decide and PerWorker for
+// each worker that it names, and its permits are valid for Valid. Durations that are not known are
+// zero.
+type AdviceDurations struct {
+	Decide    identifier.Duration `cbor:"1,keyasint,omitempty" json:"decide"`
+	PerWorker identifier.Duration `cbor:"2,keyasint,omitempty" json:"perWorker"`
+	Valid     identifier.Duration `cbor:"3,keyasint,omitempty" json:"valid"`
 }
 
 // ServiceConfig is the current configuration of a pool of workers.
--- a/internal/dispatcher/effect.go
+++ b/internal/dispatcher/effect.go
@@ -85,11 +85,8 @@
 	}
 }
 
-// adviceTimeout bounds a call of the placement adviser, which handles one call at a time.
-const adviceTimeout = 4 * time.Second
-
 func (t *Term) askAdviser(ctx context.Context, c planner.AskAdvice) {
-	ctx, cancel := context.WithTimeout(ctx, adviceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	askedAt := time.Now()
 	advice, err := t.adviser.Advise(ctx, c.Step, c.Workers)
--- a/internal/planner/adviser.go
+++ b/internal/planner/adviser.go
@@ -5,21 +5,24 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
 
 const (
-	// maxWorkersAsked is how many workers one question to the adviser covers, since it takes time
-	// for each. The users' objectives assume 30.
+	// maxWorkersAsked is how many workers a question to the adviser covers, unless more are needed.
+	// The users' objectives assume 30. The adviser accepts maxWorkersNamed.
 	maxWorkersAsked = 30
-	// maxQuestions bounds the questions in flight. The users' adviser rejects calls from 32 on.
-	maxQuestions = 8
+	maxWorkersNamed = 100
 	// permitMargin is the least time that a permit must be valid for, so that the start reaches its
 	// worker.
 	permitMargin = 200 * time.Millisecond
-	// adviceRetryPause is the pause after a question that was not answered.
+	// adviceRetryPause is the pause after a question that was not answered, and the first one of a
+	// step whose answers are of no use. maxAdviceBackoff bounds the latter.
 	adviceRetryPause = 250 * time.Millisecond
+	maxAdviceBackoff = 4 * time.Second
 )
 
 // permit is the adviser's verdict on a worker, in one incarnation of it.
@@ -32,9 +35,24 @@
 
 // adviceState is what a step of an advised queue knows from the adviser.
 type adviceState struct {
-	permits  map[identifier.Worker]permit
-	inFlight bool
-	retryAt  time.Time
+	permits map[identifier.Worker]permit
+	retryAt time.Time
+	// useless counts the answers in a row that permitted no start, and uselessAt is when the last came.
+	useless   int
+	uselessAt time.Time
+}
+
+// backOff delays the next question of a step after an answer that was of no use, but for the first
+// one, so that it does not keep other steps from asking.
+func (s *adviceState) backOff(now time.Time) {
+	if now.Sub(s.uselessAt) > 2*maxAdviceBackoff {
+		s.useless = 0
+	}
+	if s.useless > 0 {
+		s.retryAt = now.Add(min(adviceRetryPause<<min(s.useless-1, 16), maxAdviceBackoff))
+	}
+	s.useless++
+	s.uselessAt = now
 }
 
 // id returns the id of the step, by which events refer to it.
@@ -59,40 +77,53 @@
 }
 
 // askAdvice asks the adviser about more workers if a group has ready tasks for which no worker with
-// a permit has room.
+// a permit has room. It is called in the order of service, so that the next free call goes to the
+// first job that still needs one.
 func (p *Planner) askAdvice(g *taskGroup) {
-	if !g.job.queue.Advised || g.readyTasks == 0 || g.advice.inFlight || p.now.Before(g.advice.retryAt) || p.pendingAdvice >= maxQuestions {
+	if !g.job.queue.Advised || g.readyTasks == 0 || p.now.Before(g.advice.retryAt) {
+		return
+	}
+	call := callDuration(g.job.queue.Advice, 1)
+	if p.adviceCalls.contains(g.id()) || !p.adviceCalls.mayAdd(p.now, call) {
 		return
 	}
 	workers := p.adviceCandidates(g)
 	if len(workers) == 0 {
 		return
 	}
-	g.advice.inFlight = true
-	p.pendingAdvice++
-	p.emit(AskAdvice{Step: g.id(), Workers: workers})
+	timeout := p.adviceCalls.add(p.now, g.id(), callDuration(g.job.queue.Advice, len(workers)))
+	p.emit(AskAdvice{Step: g.id(), Workers: workers, Timeout: timeout})
 }
 
-// adviceCandidates returns the best workers for a group among those that only lack a permit, at
-// most maxWorkersAsked.
+// adviceCandidates returns the best workers for a group among those that only lack a permit. Those
+// that the adviser has permitted before come first, since it does not change its mind.
 func (p *Planner) adviceCandidates(g *taskGroup) []identifier.Worker {
 	t := g.firstReady()
 	d := p.demandOf(t, p.patience(t.group))
 	type candidate struct {
 		id    identifier.Worker
+		known bool
 		score float64
 	}
 	var found []candidate
 	for _, w := range p.workers {
 		if _, _, known := p.permitted(g, w); !known && p.placementObstacle(t, w, d) == obstaclePermit {
-			found = append(found, candidate{w.id, p.score(g.step, w, d.kind, 0)})
+			verdict, ok := g.advice.permits[w.id]
+			found = append(found, candidate{w.id, ok && verdict.incarnation == w.incarnation, p.score(g.step, w, d.kind, 0)})
 		}
 	}
 	slices.SortFunc(found, func(a, b candidate) int {
+		if a.known != b.known {
+			if a.known {
+				return -1
+			}
+			return 1
+		}
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
 	})
-	out := make([]identifier.Worker, 0, maxWorkersAsked)
-	for _, c := range found[:min(len(found), maxWorkersAsked)] {
+	n := workersToAsk(g.job.queue.Advice, g.readyTasks, p.adviceCalls.permittedShare(g.job.queue.Name))
+	out := make([]identifier.Worker, 0, n)
+	for _, c := range found[:min(len(found), n)] {
 		out = append(out, c.id)
 	}
 	return out
@@ -100,17 +131,20 @@
 
 // adviceAnswered handles the answer to a question to the adviser, or its failure.
 func (p *Planner) adviceAnswered(e AdviceAnswered) {
-	p.pendingAdvice--
+	p.adviceCalls.remove(p.now, e.Step, e.Err)
 	g := p.lookupGroup(e.Step)
 	if g == nil {
 		return
 	}
-	g.advice.inFlight = false
 	p.log.AdviceReceived(e.Step, len(e.Workers), len(e.Advice.Permits), e.Err)
 	if e.Err != nil {
 		g.advice.retryAt = p.now.Add(adviceRetryPause)
+		if errors.Is(e.Err, connector.ErrRefused) {
+			g.advice.backOff(p.now)
+		}
 		return
 	}
+	p.adviceCalls.observePermits(g.job.queue.Name, len(e.Workers), len(e.Advice.Permits))
 	if g.advice.permits == nil {
 		g.advice.permits = map[identifier.Worker]permit{}
 	}
@@ -119,12 +153,22 @@
 			g.advice.permits[id] = permit{incarnation: w.incarnation}
 		}
 	}
+	// The permits were issued at some time since the question. If the answer took longer than they are
+	// valid for, only the time of the answer leaves a chance to use them.
+	issuedAt := e.AskedAt
+	if p.now.Sub(e.AskedAt)+permitMargin >= e.Advice.ValidFor {
+		issuedAt = p.now
+	}
+	until := issuedAt.Add(e.Advice.ValidFor)
 	for _, granted := range e.Advice.Permits {
 		if known, ok := g.advice.permits[granted.Worker]; ok {
-			known.granted, known.ticket, known.until = true, granted.Ticket, e.AskedAt.Add(e.Advice.ValidFor)
+			known.granted, known.ticket, known.until = true, granted.Ticket, until
 			g.advice.permits[granted.Worker] = known
 		}
 	}
+	if len(e.Advice.Permits) > 0 && p.now.Add(permitMargin).After(until) {
+		g.advice.backOff(p.now)
+	}
 }
 
 // lookupGroup returns the step with an id, or nil.
@@ -144,6 +188,7 @@
 // not count as a failure of the worker.
 func (p *Planner) ticketRefused(r *run) {
 	delete(r.task.group.advice.permits, r.worker.id)
+	r.task.group.advice.backOff(p.now)
 	if r.startTries > 1 {
 		p.markUnsure(r)
 		return
--- a/internal/planner/command.go
+++ b/internal/planner/command.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"time"
+
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 )
@@ -33,10 +35,12 @@
 		Percent int
 		Epoch   identifier.Epoch
 	}
-	// AskAdvice asks the placement adviser which of the workers may run a step.
+	// AskAdvice asks the placement adviser which of the workers may run a step. An answer after
+	// Timeout is not waited for.
 	AskAdvice struct {
 		Step    connector.StepID
 		Workers []identifier.Worker
+		Timeout time.Duration
 	}
 	// DeleteSubmissions deletes the stored submissions and cancellations of retired jobs.
 	DeleteSubmissions struct{ Jobs []Retired }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -116,8 +116,8 @@
 	// shortages are the sizes of tasks that run to completion for which there was no room.
 	shortages shortages
 
-	// pendingAdvice counts the requests to the adviser that are in flight.
-	pendingAdvice int
+	// adviceCalls are the questions to the adviser that are in flight.
+	adviceCalls adviceCalls
 
 	// orderWindow bounds the starts and stops in flight.
 	orderWindow *limiter.Window
