--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -132,8 +132,8 @@
 	rackForecasts map[rackDemand]*rackForecast
 	nearWaits     int
 
-	// pendingAdvice counts the requests to the adviser that are in flight.
-	pendingAdvice int
+	// adviceCalls are the questions to the adviser that are in flight.
+	adviceCalls adviceCalls
 
 	// orderWindow bounds the starts and stops in flight.
 	orderWindow *limiter.Window
