Budgets at the listeners of a host

Cause: a host read what a client sent as fast as it came. The library keeps a copy of all of a header for each piece of it that comes, and reads on while an answer waits; bodies were read whole whatever their number; a body of 1 MB decodes to steps of 80 MB; messages of other hosts took memory by their declared size; calls ran side by side without a limit.

Ruled out: the library's own limits alone. MaxHeaderBytes acts after the copies are made, ReadTimeout starts anew with each read, and a request has its context from the first byte on.

Change: limiter.Budget divides memory, descriptors and link of a host among its listeners; each has connections (by address, too) and memory. A connection without a request may be evicted for a new one. A transport of our own under hertz waits for the whole header in one bounded buffer, and gives hertz one request at a time; bodies are charged as they come; jobs are counted before they are decoded. Accepted connections of other hosts charge messages and calls the same way. What does not fit is refused as not run, or closed. One line a second, and a counter by listener and reason.

--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -14,6 +14,7 @@
 
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/intake"
+	"github.com/balsamcove/balsamcove/internal/limiter"
 	"github.com/balsamcove/balsamcove/internal/listener"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
@@ -79,6 +80,9 @@
 }
 
 func (s *Server) submit(ctx context.Context, c *app.RequestContext) (any, error) {
+	if r := listener.ChargeDecoding(c, limiter.MaxJobShape); r != nil {
+		return nil, r
+	}
 	var job submitter.Job
 	if err := json.Unmarshal(c.Request.Body(), &job); err != nil {
 		return nil, refuser.New(refuser.CodeInvalid, "the body is no job: %v", err)
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"time"
 
@@ -12,15 +11,15 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cockroachdb/errors"
 
+	"github.com/balsamcove/balsamcove/internal/limiter"
 	"github.com/balsamcove/balsamcove/pkg/refuser"
 )
 
 const (
-	readTimeout     = 30 * time.Second
+	// idleTimeout is how long a connection may wait for its next request.
 	idleTimeout     = 60 * time.Second
 	shutdownTimeout = time.Second
 )
@@ -59,49 +58,27 @@
 	}
 }
 
-// limitBody returns a handler that reads the request body and refuses one larger than limit bytes.
-// Hertz's own size check would respond with plain text instead of a JSON refusal.
-func limitBody(limit int) app.HandlerFunc {
-	return func(ctx context.Context, c *app.RequestContext) {
-		if !c.Request.IsBodyStream() {
-			c.Next(ctx)
-			return
-		}
-		body, err := io.ReadAll(io.LimitReader(c.RequestBodyStream(), int64(limit)+1))
-		switch {
-		case err != nil:
-			refuseAndClose(c, consts.StatusBadRequest, refuser.New(refuser.CodeInvalid, "the body ended early: %v", err))
-		case len(body) > limit:
-			refuseAndClose(c, consts.StatusRequestEntityTooLarge, refuser.New(refuser.CodeTooLarge, "the body is larger than %d bytes", limit))
-		default:
-			c.Request.SetBody(body)
-			c.Next(ctx)
-		}
-	}
-}
-
-// refuseAndClose writes a refusal and closes the connection, which cannot be reused while part of
-// the request body is unread.
-func refuseAndClose(c *app.RequestContext, status int, r *refuser.Refusal) {
-	c.SetConnectionClose()
-	WriteRefusal(c, status, r)
-	c.Abort()
-}
+// WithDoor gives a server a share of its host's budget; without it, the server has a budget of its
+// own.
+func WithDoor(door *limiter.Door) config.Option { return server.WithTransport(newTransporter(door)) }
 
 // New returns a server on ln that accepts request bodies of up to maxBody bytes.
 func New(ln net.Listener, maxBody int, opts ...config.Option) *server.Hertz {
 	options := []config.Option{
 		server.WithListener(ln),
-		server.WithTransport(standard.NewTransporter),
+		WithDoor(limiter.NewBudget(limiter.HostSize{}).Door(limiter.DoorFront)),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(shutdownTimeout),
 		server.WithMaxRequestBodySize(maxBody),
+		server.WithMaxHeaderBytes(maxHeaderBytes),
 		server.WithStreamBody(true),
-		server.WithReadTimeout(readTimeout),
-		server.WithIdleTimeout(idleTimeout),
+		// The library would read a whole form before a handler runs.
+		server.WithDisablePreParseMultipartForm(true),
+		// The library returns a connection after each request.
+		server.WithIdleTimeout(0),
 	}
 	h := server.New(append(options, opts...)...)
-	h.Use(limitBody(maxBody))
+	h.Use(readBody(maxBody))
 	h.NoRoute(notFound)
 	return h
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/limiter"
 	"github.com/balsamcove/balsamcove/internal/listener"
 	"github.com/balsamcove/balsamcove/pkg/refuser"
 )
@@ -81,6 +82,7 @@
 	listener     net.Listener
 	handler      Handler
 	batchHandler BatchHandler
+	door         *limiter.Door
 	logger       *zap.Logger
 
 	mu    sync.Mutex
@@ -93,9 +95,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Server{
-		listener: ln, handler: handler, batchHandler: applyOptions(opts).batchHandler, logger: logger, peers: map[Peer]struct{}{},
-	}, nil
+	o := applyOptions(opts)
+	if o.door == nil {
+		o.door = limiter.NewBudget(limiter.HostSize{}).Door(limiter.DoorPeers)
+	}
+	return &Server{listener: ln, handler: handler, batchHandler: o.batchHandler, door: o.door, logger: logger, peers: map[Peer]struct{}{}}, nil
 }
 
 // Run serves until ctx ends, then closes all connections and returns nil. Otherwise it returns the
@@ -117,12 +121,17 @@
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	peer := newPeer(ctx, conn, s.handler, s.batchHandler)
+	g, ok := accept(conn, s.door)
+	if !ok {
+		return
+	}
+	peer := newPeer(ctx, conn, g, s.handler, s.batchHandler)
 	s.mu.Lock()
 	s.peers[peer] = struct{}{}
 	s.mu.Unlock()
 	go func() {
 		<-peer.Done()
+		g.slot.Close()
 		s.mu.Lock()
 		delete(s.peers, peer)
 		s.mu.Unlock()
@@ -148,10 +157,13 @@
 	if err == nil {
 		return out, nil
 	}
-	refusal := refuser.From(err)
+	return nil, refusalError(refuser.From(err))
+}
+
+func refusalError(refusal *refuser.Refusal) *jsonrpc2.Error {
 	rpcErr := &jsonrpc2.Error{Code: codeRefused, Message: refusal.Message}
 	rpcErr.SetError(refusal)
-	return nil, rpcErr
+	return rpcErr
 }
 
 // withoutLogs discards the log lines of the JSON-RPC library.
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return Peer{}, errors.Mark(errors.Wrapf(err, "dial peer %s", address), connector.ErrNotSent)
 	}
-	return newPeer(context.WithoutCancel(ctx), raw, handler, applyOptions(opts).batchHandler), nil
+	return newPeer(context.WithoutCancel(ctx), raw, nil, handler, applyOptions(opts).batchHandler), nil
 }
 
 // Call makes a call and decodes the answer into result. The error is a *refuser.Refusal of the
--- a/internal/messenger/stream.go
+++ b/internal/messenger/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -16,17 +15,20 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/limiter"
 )
 
 const (
 	// maxFrameBytes bounds the content of a message, compressed and decompressed. It is many times
 	// the size of a full batch of answers.
 	maxFrameBytes = 16 << 20
-	// streamBufferBytes is the size of the read and of the write buffer of a connection.
-	streamBufferBytes = 32 << 10
+	// streamBufferBytes is the size of the read and of the write buffer of a connection, and
+	// unprovenBufferBytes before a message has come over an accepted one.
+	streamBufferBytes   = 32 << 10
+	unprovenBufferBytes = 4 << 10
 	// initialAllocBytes bounds the memory that is allocated for a message before its content
 	// arrives.
-	initialAllocBytes = 1 << 20
+	initialAllocBytes = 64 << 10
 
 	// maxHeaders bounds the header lines of a message.
 	maxHeaders = 16
@@ -45,7 +47,10 @@
 type BatchHandler func(from Peer, method Method, content []byte)
 
 // options configure a connection.
-type options struct{ batchHandler BatchHandler }
+type options struct {
+	batchHandler BatchHandler
+	door         *limiter.Door
+}
 
 // Option configures the connections of a server, or one that is dialled.
 type Option func(*options)
@@ -53,6 +58,9 @@
 // WithBatchHandler sets the handler of batches; without it they are dropped.
 func WithBatchHandler(h BatchHandler) Option { return func(o *options) { o.batchHandler = h } }
 
+// WithDoor sets the budget for the connections that a server accepts, and for what comes over them.
+func WithDoor(d *limiter.Door) Option { return func(o *options) { o.door = d } }
+
 func applyOptions(opts []Option) (out options) {
 	for _, o := range opts {
 		o(&out)
@@ -67,7 +75,9 @@
 type stream struct {
 	raw          net.Conn
 	batchHandler BatchHandler
-	reader       *bufio.Reader
+	// guest bounds an accepted connection; nil for one that was dialled.
+	guest  *guest
+	reader *bufio.Reader
 	// ready is closed once conn is set; the connection may read messages before.
 	ready chan struct{}
 	conn  *jsonrpc2.Conn
@@ -81,21 +91,35 @@
 	decompressor *batchDecompressor
 }
 
-// newPeer starts a JSON-RPC connection over raw. Calls and batches of the other side are passed to
-// the handlers; batchHandler may be nil.
-func newPeer(ctx context.Context, raw net.Conn, calls Handler, batchHandler BatchHandler) Peer {
+// newPeer starts a JSON-RPC connection over raw, or over guest if it is not nil. Calls and batches of
+// the other side are passed to the handlers; batchHandler may be nil.
+func newPeer(ctx context.Context, raw net.Conn, g *guest, calls Handler, batchHandler BatchHandler) Peer {
+	bufferBytes, limitCalls := streamBufferBytes, jsonrpc2.AsyncHandler
+	if g != nil {
+		raw, bufferBytes, limitCalls = g, unprovenBufferBytes, g.limitCalls
+	}
 	s := &stream{
-		raw: raw, batchHandler: batchHandler, ready: make(chan struct{}),
-		reader: bufio.NewReaderSize(raw, streamBufferBytes), writer: bufio.NewWriterSize(raw, streamBufferBytes),
+		raw: raw, guest: g, batchHandler: batchHandler, ready: make(chan struct{}),
+		reader: bufio.NewReaderSize(raw, bufferBytes), writer: bufio.NewWriterSize(raw, bufferBytes),
 	}
 	handle := jsonrpc2.HandlerWithError(func(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 		return handleCall(ctx, calls, Peer{conn, s}, req)
 	})
-	s.conn = jsonrpc2.NewConn(ctx, s, jsonrpc2.AsyncHandler(handle), withoutLogs())
+	s.conn = jsonrpc2.NewConn(ctx, s, limitCalls(handle), withoutLogs())
 	close(s.ready)
 	return Peer{s.conn, s}
 }
 
+// prove enlarges the buffers of an accepted connection once a message has come over it.
+func (s *stream) prove() {
+	s.guest.proven = true
+	s.guest.slot.Begin()
+	s.reader = bufio.NewReaderSize(s.reader, streamBufferBytes)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writer = bufio.NewWriterSize(s.guest, streamBufferBytes)
+}
+
 // WriteObject implements jsonrpc2.ObjectStream.
 func (s *stream) WriteObject(obj any) error {
 	data, err := json.Marshal(obj)
@@ -149,6 +173,9 @@
 			return err
 		}
 		if method == "" {
+			if !s.guest.admitMessage(content) {
+				return errNoMemory
+			}
 			return errors.Wrap(json.Unmarshal(content, v), "decode message")
 		}
 		if s.batchHandler != nil {
@@ -170,6 +197,15 @@
 // readFrame reads the next message and decompresses its content if need be; method is empty unless
 // the message is a batch.
 func (s *stream) readFrame() (method Method, content []byte, err error) {
+	if s.guest != nil {
+		// The message before has been handled.
+		s.guest.frame.Release()
+		if _, err := s.reader.Peek(1); err != nil {
+			return "", nil, errors.Wrap(err, "await message")
+		}
+		s.guest.inFrame = true
+		defer s.guest.endFrame()
+	}
 	f, err := s.readHeader()
 	if err != nil {
 		return "", nil, err
@@ -180,7 +216,13 @@
 	if content, err = s.readContent(f.length); err != nil {
 		return "", nil, errors.Wrap(err, "read message")
 	}
+	if s.guest != nil && !s.guest.proven {
+		s.prove()
+	}
 	if f.uncompressed >= 0 {
+		if !s.guest.grow(f.uncompressed) {
+			return "", nil, errNoMemory
+		}
 		if s.decompressor == nil {
 			s.decompressor = newBatchDecompressor()
 		}
@@ -223,15 +265,24 @@
 // readContent reads the content of a message. For a large one, memory is allocated as its bytes
 // arrive, so that a header alone cannot claim it.
 func (s *stream) readContent(length int) ([]byte, error) {
-	if length <= initialAllocBytes {
-		content := make([]byte, length)
-		_, err := io.ReadFull(s.reader, content)
-		return content, err
-	}
-	var content bytes.Buffer
-	content.Grow(initialAllocBytes)
-	_, err := io.CopyN(&content, s.reader, int64(length))
-	return content.Bytes(), err
+	size := min(length, initialAllocBytes)
+	if !s.guest.grow(size) {
+		return nil, errNoMemory
+	}
+	content := make([]byte, size)
+	for read := 0; ; {
+		n, err := io.ReadFull(s.reader, content[read:])
+		if read += n; err != nil || read == length {
+			return content, err
+		}
+		size := min(2*len(content), length)
+		if !s.guest.grow(size) {
+			return nil, errNoMemory
+		}
+		larger := make([]byte, size)
+		copy(larger, content)
+		content = larger
+	}
 }
 
 // Close implements jsonrpc2.ObjectStream.
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -19,6 +19,7 @@
 	"github.com/balsamcove/balsamcove/internal/dispatcher"
 	"github.com/balsamcove/balsamcove/internal/elector"
 	"github.com/balsamcove/balsamcove/internal/intake"
+	"github.com/balsamcove/balsamcove/internal/limiter"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/messenger"
 	"github.com/balsamcove/balsamcove/internal/planner"
@@ -95,6 +96,7 @@
 	carrier         *carrier.Host
 	directory       Directory
 	adviser         connector.Adviser
+	peerDoor        *limiter.Door
 	logger          *zap.Logger
 	plannerLog      planner.Log
 	recordEventWait func(time.Duration)
@@ -130,6 +132,9 @@
 // WithAdviser sets the adviser, which decides which workers may run the steps of advised queues.
 func WithAdviser(a connector.Adviser) Option { return func(s *Supervisor) { s.adviser = a } }
 
+// WithPeerDoor sets the budget for what other hosts send.
+func WithPeerDoor(d *limiter.Door) Option { return func(s *Supervisor) { s.peerDoor = d } }
+
 // WithEventWaitRecorder sets a function that records how long events wait for the planner.
 func WithEventWaitRecorder(record func(time.Duration)) Option {
 	return func(s *Supervisor) { s.recordEventWait = record }
@@ -199,7 +204,7 @@
 // Run serves other hosts and callers until ctx ends, and holds cells until scheduling ends, which
 // may be earlier. It returns the first error of a component, or nil.
 func (s *Supervisor) Run(ctx, scheduling context.Context) error {
-	server, err := messenger.Listen(s.settings.PeerAddress, s.handle, s.logger, messenger.WithBatchHandler(s.pool.Receive))
+	server, err := messenger.Listen(s.settings.PeerAddress, s.handle, s.logger, messenger.WithBatchHandler(s.pool.Receive), messenger.WithDoor(s.peerDoor))
 	if err != nil {
 		return err
 	}
