--- a/internal/limiter/budget.go
+++ b/internal/limiter/budget.go
@@ -1,7 +1,9 @@
 package limiter
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -44,7 +46,7 @@
 	// least is the number of connections that the listener takes whatever the host's size.
 	least int
 }{
-	DoorFront:   {1.0 / 10, 3.0 / 8, 32},
+	DoorFront:   {1.0 / 10, 1.0 / 3, 32},
 	DoorPeers:   {1.0 / 10, 1.0 / 4, 16},
 	DoorAdmin:   {1.0 / 40, 1.0 / 64, 8},
 	DoorMetrics: {1.0 / 80, 1.0 / 128, 8},
@@ -79,40 +81,94 @@
 	Link int
 }
 
+// DoorLimits are set limits of one listener; those that are zero follow from the size of the host.
+type DoorLimits struct {
+	Memory       Bytes
+	Connections  int
+	TransferTime time.Duration
+}
+
+// SetLimits are the limits that are set for the listeners of a host.
+type SetLimits struct{ Front, Peers, Admin, Metrics, Ready DoorLimits }
+
+func (l SetLimits) of(name DoorName) DoorLimits {
+	switch name {
+	case DoorFront:
+		return l.Front
+	case DoorPeers:
+		return l.Peers
+	case DoorAdmin:
+		return l.Admin
+	case DoorMetrics:
+		return l.Metrics
+	case DoorReady:
+		return l.Ready
+	default:
+		return DoorLimits{}
+	}
+}
+
 // Budget divides the memory and descriptors of a host among its listeners and counts the clients
 // that were turned away. Its methods are safe for concurrent use.
 type Budget struct {
-	size HostSize
+	size   HostSize
+	limits SetLimits
 
 	mu     sync.Mutex
+	doors  []*Door
 	turned map[DoorName]map[Turnaway]int64
 }
 
 // NewBudget returns the budget of a host.
-func NewBudget(size HostSize) *Budget {
+func NewBudget(size HostSize, limits SetLimits) *Budget {
 	if size.Memory <= 0 {
 		size.Memory = defaultMemory
 	}
 	if size.Descriptors <= 0 {
 		size.Descriptors = defaultDescriptors
 	}
-	return &Budget{size: size, turned: map[DoorName]map[Turnaway]int64{}}
+	return &Budget{size: size, limits: limits, turned: map[DoorName]map[Turnaway]int64{}}
 }
 
 // Door returns the share of a listener; each is asked for once.
 func (b *Budget) Door(name DoorName) *Door {
-	share := doorShares[name]
-	memory := Bytes(float64(b.size.Memory) * share.memory)
+	share, set := doorShares[name], b.limits.of(name)
+	memory := cmp.Or(set.Memory, Bytes(float64(b.size.Memory)*share.memory))
 	connections := min(int(float64(b.size.Descriptors)*share.descriptors), int(memory/connectionBytes))
-	connections = max(connections, share.least)
+	connections = cmp.Or(set.Connections, max(connections, share.least))
 	transferTime := minTransferTime
 	if b.size.Link > 0 {
 		transferTime = max(transferTime, time.Duration(float64(memory)/(float64(b.size.Link)*transferShare)*float64(time.Second)))
 	}
-	return &Door{
+	transferTime = cmp.Or(set.TransferTime, transferTime)
+	d := &Door{
 		name: name, budget: b, memory: memory, connections: connections, transferTime: transferTime,
 		perAddress: max(int(float64(connections)*peerAddressShare), 1), byAddress: map[string]int{},
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.doors = append(b.doors, d)
+	return d
+}
+
+// Use is what a listener has in use.
+type Use struct {
+	Memory      Bytes
+	Connections int
+}
+
+// InUse returns what each listener has in use.
+func (b *Budget) InUse() map[DoorName]Use {
+	b.mu.Lock()
+	doors := slices.Clone(b.doors)
+	b.mu.Unlock()
+	out := map[DoorName]Use{}
+	for _, d := range doors {
+		d.mu.Lock()
+		out[d.name] = Use{d.taken, d.open}
+		d.mu.Unlock()
+	}
+	return out
 }
 
 // TurnedAway returns how many clients were turned away since the start, by listener and reason.
--- a/internal/limiter/door.go
+++ b/internal/limiter/door.go
@@ -28,6 +28,9 @@
 // TransferTime returns how long a client may take to send a request or to read an answer.
 func (d *Door) TransferTime() time.Duration { return d.transferTime }
 
+// Memory returns the memory that all requests together may take.
+func (d *Door) Memory() Bytes { return d.memory }
+
 // TurnAway counts a client that was turned away.
 func (d *Door) TurnAway(reason Turnaway) { d.budget.turnAway(d.name, reason) }
 
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -40,6 +40,8 @@
 	door    *limiter.Door
 	charge  limiter.Charge
 	timeout time.Duration
+	// armed is set once the deadline for the transfer of a request is set.
+	armed bool
 	// unread is set if a request was refused before all of it was read.
 	unread bool
 
@@ -70,7 +72,7 @@
 			return err
 		}
 	}
-	m, err := c.Conn.Read(c.in[len(c.in):cap(c.in)])
+	m, err := c.receive(c.in[len(c.in):cap(c.in)])
 	c.in = c.in[:len(c.in)+m]
 	if m > 0 {
 		return nil
@@ -78,6 +80,18 @@
 	return err
 }
 
+// receive reads once from the client, within the time that it has for the transfer of a request. A
+// request that comes in one piece sets no deadline.
+func (c *conn) receive(p []byte) (int, error) {
+	if !c.armed {
+		c.armed = true
+		if err := c.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
+			return 0, errors.Wrap(err, "set read deadline")
+		}
+	}
+	return c.Conn.Read(p)
+}
+
 // grow replaces the buffer by one with room for n unread bytes. Bytes that the library still uses
 // stay in the old one.
 func (c *conn) grow(n int) error {
@@ -137,7 +151,7 @@
 // Read reads what is there, without passing through the buffer if that is empty.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.Len() == 0 {
-		return c.Conn.Read(p)
+		return c.receive(p)
 	}
 	n := copy(p, c.in[c.off:])
 	c.off += n
@@ -202,15 +216,12 @@
 		if err := c.SetReadDeadline(time.Now().Add(idle)); err != nil {
 			return errors.Wrap(err, "set idle deadline")
 		}
+		c.armed = true
 		if err := c.fill(1); err != nil {
 			return io.EOF
 		}
 	}
-	// The rest of a request that came in one piece has to come at once, too, or is not there.
-	deadline := time.Now().Add(c.timeout)
-	if err := c.SetReadDeadline(deadline); err != nil {
-		return errors.Wrap(err, "set read deadline")
-	}
+	c.armed = false
 	h := headerScanner{maxBody: maxBody}
 	for {
 		done, err := h.scan(c.in[c.off:])
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -66,7 +66,7 @@
 func New(ln net.Listener, maxBody int, opts ...config.Option) *server.Hertz {
 	options := []config.Option{
 		server.WithListener(ln),
-		WithDoor(limiter.NewBudget(limiter.HostSize{}).Door(limiter.DoorFront)),
+		WithDoor(limiter.NewBudget(limiter.HostSize{}, limiter.SetLimits{}).Door(limiter.DoorFront)),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(shutdownTimeout),
 		server.WithMaxRequestBodySize(maxBody),
--- a/internal/messenger/guest.go
+++ b/internal/messenger/guest.go
@@ -14,9 +14,14 @@
 )
 
 const (
-	// maxCallsInFlight bounds the calls of one accepted connection that are being answered. While
-	// there are as many, nothing more is read from it.
+	// maxCallsInFlight bounds the calls of one accepted connection that are being answered, and
+	// minCallsInFlight is allowed whatever the budget. While there are as many, nothing more is read
+	// from it.
 	maxCallsInFlight = 256
+	minCallsInFlight = 8
+	// connectionCallShare is the part of the server's memory that the calls of one connection may
+	// take.
+	connectionCallShare = 4
 	// callBytes is what a call takes beside its parameters, and valueBytes what each element of
 	// the parameters takes decoded.
 	callBytes  = 16 << 10
@@ -60,7 +65,8 @@
 		_ = raw.Close()
 		return nil, false
 	}
-	return &guest{Conn: raw, door: door, slot: slot, frame: door.NewCharge(), callsInFlight: make(chan struct{}, maxCallsInFlight)}, true
+	calls := min(max(int(door.Memory()/connectionCallShare/callBytes), minCallsInFlight), maxCallsInFlight)
+	return &guest{Conn: raw, door: door, slot: slot, frame: door.NewCharge(), callsInFlight: make(chan struct{}, calls)}, true
 }
 
 // endFrame says that the message that was being read is there.
@@ -125,7 +131,7 @@
 }
 
 // limitCalls returns a handler that answers calls side by side, as many as there is memory for and
-// at most maxCallsInFlight.
+// as one connection may have.
 func (g *guest) limitCalls(answer jsonrpc2.Handler) jsonrpc2.Handler {
 	refuse := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 		return nil, refusalError(refuser.New(refuser.CodeOverloaded, "this host has no memory for another call"))
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -97,7 +97,7 @@
 	}
 	o := applyOptions(opts)
 	if o.door == nil {
-		o.door = limiter.NewBudget(limiter.HostSize{}).Door(limiter.DoorPeers)
+		o.door = limiter.NewBudget(limiter.HostSize{}, limiter.SetLimits{}).Door(limiter.DoorPeers)
 	}
 	return &Server{listener: ln, handler: handler, batchHandler: o.batchHandler, door: o.door, logger: logger, peers: map[Peer]struct{}{}}, nil
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -72,29 +72,39 @@
 	return errors.Wrapf(err, "create counter %s", name)
 }
 
-// Count is the value of one counter of several with the same name.
-type Count struct {
+// Value is the value of one metric of several with the same name.
+type Value struct {
 	Labels map[string]string
 	Value  int64
 }
 
+// observe returns a callback that passes on labelled values.
+func observe(read func() []Value) metric.Int64Callback {
+	return func(_ context.Context, o metric.Int64Observer) error {
+		for _, v := range read() {
+			attrs := make([]attribute.KeyValue, 0, len(v.Labels))
+			for name, label := range v.Labels {
+				attrs = append(attrs, attribute.String(name, label))
+			}
+			o.Observe(v.Value, metric.WithAttributes(attrs...))
+		}
+		return nil
+	}
+}
+
 // RegisterCounters registers counters that differ by their labels, and whose values are obtained by
 // calling read at every scrape.
-func (m *Meter) RegisterCounters(name, description string, read func() []Count) error {
-	_, err := m.meter.Int64ObservableCounter(name, metric.WithDescription(description),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			for _, c := range read() {
-				var attrs []attribute.KeyValue
-				for k, v := range c.Labels {
-					attrs = append(attrs, attribute.String(k, v))
-				}
-				o.Observe(c.Value, metric.WithAttributes(attrs...))
-			}
-			return nil
-		}))
+func (m *Meter) RegisterCounters(name, description string, read func() []Value) error {
+	_, err := m.meter.Int64ObservableCounter(name, metric.WithDescription(description), metric.WithInt64Callback(observe(read)))
 	return errors.Wrapf(err, "create counters %s", name)
 }
 
+// RegisterGauges is RegisterCounters for gauges.
+func (m *Meter) RegisterGauges(name, description string, read func() []Value) error {
+	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(description), metric.WithInt64Callback(observe(read)))
+	return errors.Wrapf(err, "create gauges %s", name)
+}
+
 // RecordRequest records a finished request: its duration, how often it was sent to a minion, and
 // "ok" or the refusal code as its code.
 func (m *Meter) RecordRequest(service *parser.Service, code string, sends int, took time.Duration) {
