--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -16,6 +16,7 @@
 
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/intake"
+	"github.com/balsamcove/balsamcove/internal/limiter"
 	"github.com/balsamcove/balsamcove/internal/listener"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
@@ -120,6 +121,9 @@
 // parseJob decodes and checks the job in a request, and returns it with the configuration of its
 // queue that is in force and the version of that.
 func (s *Server) parseJob(c *app.RequestContext) (job submitter.Job, queue connector.QueueConfig, version identifier.ConfigVersion, err error) {
+	if r := listener.ChargeDecoding(c, limiter.MaxJobShape); r != nil {
+		return job, queue, 0, r
+	}
 	if err := json.Unmarshal(c.Request.Body(), &job); err != nil {
 		return job, queue, 0, refuser.New(refuser.CodeInvalid, "the body is no job: %v", err)
 	}
--- a/internal/messenger/bound_test.go
+++ b/internal/messenger/bound_test.go
@@ -29,7 +29,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				near, far := net.Pipe()
-				peer := newPeer(t.Context(), near, func(context.Context, Method, json.RawMessage) (any, error) { return nil, nil }, nil)
+				peer := newPeer(t.Context(), near, nil, func(context.Context, Method, json.RawMessage) (any, error) { return nil, nil }, nil)
 				defer func() { _ = far.Close() }()
 				if tt.pause > 0 {
 					go func() {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -75,14 +75,46 @@
 // RegisterTeamGauge registers a gauge with a value for each team, which are obtained by calling read
 // at every scrape.
 func (m *Meter) RegisterTeamGauge(name, description string, read func() map[identifier.Team]int64) error {
-	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(description),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			for team, v := range read() {
-				o.Observe(v, metric.WithAttributes(attribute.String("team", string(team))))
+	return m.RegisterGauges(name, description, func() []Value {
+		var out []Value
+		for team, v := range read() {
+			out = append(out, Value{Labels: map[string]string{"team": string(team)}, Value: v})
+		}
+		return out
+	})
+}
+
+// Value is the value of one metric of several with the same name.
+type Value struct {
+	Labels map[string]string
+	Value  int64
+}
+
+// observe returns a callback that passes on labelled values.
+func observe(read func() []Value) metric.Int64Callback {
+	return func(_ context.Context, o metric.Int64Observer) error {
+		for _, v := range read() {
+			attrs := make([]attribute.KeyValue, 0, len(v.Labels))
+			for name, label := range v.Labels {
+				attrs = append(attrs, attribute.String(name, label))
 			}
-			return nil
-		}))
-	return errors.Wrapf(err, "create gauge %s", name)
+			o.Observe(v.Value, metric.WithAttributes(attrs...))
+		}
+		return nil
+	}
+}
+
+// RegisterCounters registers counters that differ by their labels, and whose values are obtained by
+// calling read at every scrape.
+func (m *Meter) RegisterCounters(name, description string, read func() []Value) error {
+	_, err := m.meter.Int64ObservableCounter(name, metric.WithDescription(description), metric.WithInt64Callback(observe(read)))
+	return errors.Wrapf(err, "create counters %s", name)
+}
+
+// RegisterGauges is RegisterCounters for gauges.
+func (m *Meter) RegisterGauges(name, description string, read func() []Value) error {
+	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(description), metric.WithInt64Callback(observe(read)))
+	return errors.Wrapf(err, "create gauges %s", name)
 }
 
 // RecordRequest records a finished request: its duration, how often it was sent to a minion, and
