--- a/internal/crowder/crowd_test.go
+++ b/internal/crowder/crowd_test.go
@@ -197,6 +197,19 @@
 	}
 }
 
+// TestJobsRunWhileCrowdIsThere checks that a job is taken and run while a crowd has filled the
+// listeners and stays.
+func TestJobsRunWhileCrowdIsThere(t *testing.T) {
+	for _, name := range []string{"bodies in one piece", "headers without end", "requests ahead", "silent"} {
+		t.Run(name, func(t *testing.T) {
+			h := startHost(t)
+			leave := h.crowd(crowds[name])
+			defer leave()
+			h.awaitOrdinary(2)
+		})
+	}
+}
+
 // crowd opens the connections of a crowd and returns once all have sent what the host takes; leave
 // closes them.
 func (h *host) crowd(behave func(client, door) error) (leave func()) {
