Submissions: the holder appends for all hosts, a silent store is refused at once

Change: a host has the holder append the record, with the call that hosts make for each other already; it appends by itself if the holder refuses or is silent. A breaker (probe: a lookup of the holders) refuses what was not sent while the store answers nobody.

--- a/internal/carrier/host.go
+++ b/internal/carrier/host.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/balsamcove/balsamcove/internal/admitter"
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/messenger"
@@ -63,6 +64,8 @@
 	uptime       func() time.Duration
 	observeClock func(identifier.Cell, renewer.ClockReading)
 	versions     configVersions
+	// observeOutlook receives the outlooks of cells that holders send.
+	observeOutlook func(identifier.Cell, admitter.Outlook)
 }
 
 // HostOption configures a Host.
@@ -84,9 +87,15 @@
 	return func(h *Host) { h.versions = configVersions{known, observe} }
 }
 
+// WithOutlookObserver sets a function that receives the outlooks of cells that holders send with their
+// heartbeat responses.
+func WithOutlookObserver(observe func(identifier.Cell, admitter.Outlook)) HostOption {
+	return func(h *Host) { h.observeOutlook = observe }
+}
+
 // NewHost returns a host that makes calls with runner once Run is called.
 func NewHost(o Offer, runner connector.Runner, l Locator, log *zap.Logger, opts ...HostOption) *Host {
-	h := &Host{offer: o, runner: runner, locator: l, logger: log, uptime: uptimer.SinceBoot, observeClock: func(identifier.Cell, renewer.ClockReading) {}, versions: noConfigVersions()}
+	h := &Host{offer: o, runner: runner, locator: l, logger: log, uptime: uptimer.SinceBoot, observeClock: func(identifier.Cell, renewer.ClockReading) {}, versions: noConfigVersions(), observeOutlook: func(identifier.Cell, admitter.Outlook) {}}
 	for _, opt := range opts {
 		opt(h)
 	}
@@ -220,6 +229,9 @@
 	for cell, r := range resp.Clocks {
 		s.host.observeClock(cell, r)
 	}
+	for cell, o := range resp.Outlooks {
+		s.host.observeOutlook(cell, o)
+	}
 	s.host.versions.observe(resp.ConfigVersion)
 	return nil
 }
--- a/internal/carrier/pool.go
+++ b/internal/carrier/pool.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/balsamcove/balsamcove/internal/admitter"
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/messenger"
@@ -66,6 +67,7 @@
 	compress         bool
 	cellClocks       func() map[identifier.Cell]renewer.ClockReading
 	versions         configVersions
+	outlooks         func() map[identifier.Cell]admitter.Outlook
 
 	mu       sync.Mutex
 	open     bool
@@ -89,6 +91,12 @@
 	return func(p *Pool) { p.cellClocks = clocks }
 }
 
+// WithOutlooks sets a function that returns the outlooks of the cells held here, which heartbeat
+// responses pass on to the hosts.
+func WithOutlooks(outlooks func() map[identifier.Cell]admitter.Outlook) PoolOption {
+	return func(p *Pool) { p.outlooks = outlooks }
+}
+
 // WithConfigVersions sets a function that returns the newest version of the configuration that this
 // host knows of, which heartbeat responses pass on, and one that receives those of the hosts.
 func WithConfigVersions(known func() identifier.ConfigVersion, observe func(identifier.ConfigVersion)) PoolOption {
@@ -101,6 +109,7 @@
 	p := &Pool{
 		localRunner: localRunner, maxDirectWorkers: maxDirectWorkers, logger: log, uptime: uptimer.SinceBoot,
 		cellClocks: func() map[identifier.Cell]renewer.ClockReading { return nil }, versions: noConfigVersions(),
+		outlooks: func() map[identifier.Cell]admitter.Outlook { return nil },
 		assigner: newAssigner[messenger.Peer](), sessions: map[messenger.Peer]*hostSession{},
 	}
 	for _, o := range opts {
@@ -312,7 +321,7 @@
 	}
 	s.receiveReplies(replies)
 	p.versions.observe(in.ConfigVersion)
-	return heartbeatResponse{Clocks: p.cellClocks(), ConfigVersion: p.versions.known()}, nil
+	return heartbeatResponse{Clocks: p.cellClocks(), ConfigVersion: p.versions.known(), Outlooks: p.outlooks()}, nil
 }
 
 // sendInterval returns the minimum time between two batches from or to a host.
--- a/internal/carrier/wire.go
+++ b/internal/carrier/wire.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/balsamcove/balsamcove/internal/admitter"
 	"github.com/balsamcove/balsamcove/internal/catcher"
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/renewer"
@@ -52,6 +53,8 @@
 	Clocks map[identifier.Cell]renewer.ClockReading `json:"clocks,omitempty"`
 	// ConfigVersion is the newest version of the configuration that the holder knows of.
 	ConfigVersion identifier.ConfigVersion `json:"configVersion,omitempty"`
+	// Outlooks describe the cells that the holder holds. Holders of older versions send none.
+	Outlooks map[identifier.Cell]admitter.Outlook `json:"outlooks,omitempty"`
 }
 
 // batch is the envelope of orders or replies on the wire. SentAt is the sender's uptime, from
--- a/internal/dialer/store.go
+++ b/internal/dialer/store.go
@@ -17,17 +17,23 @@
 	CodeFenced  refuser.Code = "fenced"
 	CodeExpired refuser.Code = "expired"
 	CodeBusy    refuser.Code = "busy"
+	// CodeNotSent means that the host that relays a call has not sent it.
+	CodeNotSent refuser.Code = "notSent"
 )
 
 // errorsByCode maps the codes of refusals to the errors of connector.Store.
 var errorsByCode = map[refuser.Code]error{
 	CodeFenced: connector.ErrFenced, CodeExpired: connector.ErrExpired, CodeBusy: connector.ErrBusy,
-	refuser.CodeConflict: connector.ErrConflict, refuser.CodeInvalid: connector.ErrRefused,
+	CodeNotSent: connector.ErrNotSent, refuser.CodeConflict: connector.ErrConflict, refuser.CodeInvalid: connector.ErrRefused,
 }
 
 // StoreRefusal returns the refusal with which an error of a store is sent to a client, whose Store
-// turns it back into the same error.
+// turns it back into the same error. One that is marked connector.ErrUnknown too stays unknown, whatever
+// another attempt of the same call was refused for, unless the store itself decided the call.
 func StoreRefusal(err error) *refuser.Refusal {
+	if errors.Is(err, connector.ErrUnknown) && errors.IsAny(err, connector.ErrBusy, connector.ErrNotSent) {
+		return refuser.NewUnknown(refuser.CodeUnavailable, "%v", err)
+	}
 	for code, target := range errorsByCode {
 		if errors.Is(err, target) {
 			return refuser.New(code, "%v", err)
--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -23,6 +23,18 @@
 	// batches, records and bytes count the appends of the cell's state and what these contained,
 	// and storeTime is the total time in nanoseconds that the store took for them.
 	batches, records, bytes, storeTime atomic.Int64
+	// lastAppend is the duration, in nanoseconds, of the last append, and appendSince the time, in
+	// nanoseconds since 1970, at which the one under way began, or zero.
+	lastAppend, appendSince atomic.Int64
+}
+
+// storeDelay returns how long the store takes for an append at present.
+func (l *loadStats) storeDelay(now time.Time) time.Duration {
+	delay := time.Duration(l.lastAppend.Load())
+	if since := l.appendSince.Load(); since != 0 {
+		delay = max(delay, now.Sub(time.Unix(0, since)))
+	}
+	return delay
 }
 
 // recordPass counts a pass of the planner whose oldest event waited for the given time.
--- a/internal/dispatcher/saver.go
+++ b/internal/dispatcher/saver.go
@@ -253,10 +253,13 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	began := time.Now()
+	t.stats.appendSince.Store(began.UnixNano())
 	_, err := t.store.Append(ctx, connector.KeyedAppend{
 		Topic: TopicWork, Partition: connector.Partition(t.cell), Writer: &writer, Records: records,
 	})
 	took := time.Since(began)
+	t.stats.lastAppend.Store(int64(took))
+	t.stats.appendSince.Store(0)
 	if err == nil {
 		t.stats.recordAppend(len(records), connector.RecordBytes(records...), took)
 	}
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/balsamcove/balsamcove/internal/admitter"
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/intake"
 	"github.com/balsamcove/balsamcove/internal/logger"
@@ -360,6 +361,11 @@
 	return t.planner.Stats()
 }
 
+// Outlook returns what other hosts are told about the cell.
+func (t *Term) Outlook() admitter.Outlook {
+	return admitter.Outlook{StoreDelay: t.stats.storeDelay(time.Now())}
+}
+
 // catchUpInbox reads and applies the records that were added to the inbox since the last read.
 func (t *Term) catchUpInbox(ctx context.Context) error {
 	for more := true; more; {
--- a/internal/intake/batcher.go
+++ b/internal/intake/batcher.go
@@ -7,14 +7,16 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/logger"
 )
 
 const (
 	// appendTimeout bounds one append. A slow store serialises the appends of all hosts to a
-	// partition and takes 100 ms for each.
-	appendTimeout = 1500 * time.Millisecond
+	// partition, takes 100 ms for each, and refuses more once 2 s are queued.
+	appendTimeout = 2500 * time.Millisecond
 	// maxBatchBytes bounds the total size of the values in one append; it is below the limit
 	// of the store.
 	maxBatchBytes = 1 << 20
@@ -25,6 +27,7 @@
 type batcher struct {
 	store     connector.Store
 	partition connector.Partition
+	logger    *zap.Logger
 
 	mu    sync.Mutex
 	queue []*pendingRecord
@@ -112,6 +115,10 @@
 	for i, p := range batch {
 		records[i] = p.record
 	}
+	began := time.Now()
 	_, err := b.store.Append(ctx, connector.KeyedAppend{Topic: TopicInbox, Partition: b.partition, Records: records})
+	if took := time.Since(began); took > slowAppend {
+		b.logger.Info("slow append to the inbox", zap.Duration("took", took), zap.Int("records", len(records)), logger.Err(err))
+	}
 	return err
 }
--- /dev/null
+++ b/internal/intake/courier_test.go
@@ -0,0 +1,154 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/balsamcove/balsamcove/internal/admitter"
+	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/messenger"
+	"github.com/balsamcove/balsamcove/internal/relayer"
+	"github.com/balsamcove/balsamcove/internal/simulator"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/refuser"
+)
+
+// serveHolder starts a host that holds cell 0 and answers the appends of other hosts after delay.
+func serveHolder(t *testing.T, store connector.Store, delay time.Duration) (address string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address = ln.Addr().String()
+	_ = ln.Close()
+	s := newService(store)
+	s.localHolder = func(identifier.Cell) (Holder, bool) { return nil, true }
+	rpc, err := messenger.Listen(address, func(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
+		time.Sleep(delay)
+		out, _, err := relayer.Serve(ctx, s.Grouping(store), method, params)
+		return out, err
+	}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = rpc.Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return address
+}
+
+// TestHolderAppendsForAllHosts plays a slow store, which takes appends one after the other, under
+// submissions at 30 hosts at the same time: they are stored with few appends, and within the time that
+// callers have.
+func TestHolderAppendsForAllHosts(t *testing.T) {
+	store := simulator.NewStore(1, 1)
+	store.SetFaults(simulator.StoreFaults{Slow: 250 * time.Millisecond})
+	holder := serveHolder(t, store.Client("holder"), 0)
+	var wg sync.WaitGroup
+	for n := range 30 {
+		s := newService(store.Client("front"))
+		s.locator.holders[0] = holder
+		s.ObserveOutlook(0, admitter.Outlook{StoreDelay: 300 * time.Millisecond})
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 2850*time.Millisecond)
+			defer cancel()
+			if err := s.Submit(ctx, Submission{Job: job(n)}); err != nil {
+				t.Errorf("submission %d: %v", n, err)
+			}
+		})
+	}
+	wg.Wait()
+	if calls := store.Calls(); calls > 8 {
+		t.Errorf("%d appends for 30 submissions, want at most 8", calls)
+	}
+}
+
+// TestSubmissionsAreStoredWithoutTheHolder checks that a submission is stored from this host if the
+// holder is gone or does not answer, and that the next one does not wait for it.
+func TestSubmissionsAreStoredWithoutTheHolder(t *testing.T) {
+	store := simulator.NewStore(1, 1)
+	for name, holder := range map[string]string{
+		"gone":   "127.0.0.1:1",
+		"silent": serveHolder(t, store.Client("holder"), 1500*time.Millisecond),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newService(store.Client("front"))
+			s.locator.holders[0] = holder
+			for n, within := range []time.Duration{900 * time.Millisecond, 100 * time.Millisecond} {
+				began := time.Now()
+				if err := s.Submit(t.Context(), Submission{Job: job(n)}); err != nil {
+					t.Errorf("submission %d: %v", n, err)
+				}
+				if took := time.Since(began); took > within {
+					t.Errorf("submission %d took %v, want at most %v", n, took, within)
+				}
+			}
+		})
+	}
+}
+
+// TestSilentStoreIsRefusedAtOnce plays submissions while the store answers nobody: once that is known,
+// none is held or sent; those refused as not run are never stored; and submissions are accepted soon
+// after the store is back.
+func TestSilentStoreIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := simulator.NewStore(1, 1)
+		s := newService(store.Client("front"))
+		go func() { _ = s.Run(t.Context()) }()
+		store.SetFaults(simulator.StoreFaults{Down: true})
+		refused := map[identifier.Job]bool{}
+		submit := func(n int) (*refuser.Refusal, time.Duration) {
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			began := time.Now()
+			var r *refuser.Refusal
+			if err := s.Submit(ctx, Submission{Job: job(n)}); err != nil && !errors.As(err, &r) {
+				t.Fatalf("submission %d: %v", n, err)
+			}
+			if r != nil && r.Effect == refuser.NotRun {
+				refused[job(n).ID] = true
+			}
+			return r, time.Since(began)
+		}
+		if r, _ := submit(0); r == nil || r.Effect != refuser.Unknown {
+			t.Errorf("submission sent to the silent store: %v, want one of unknown effect", r)
+		}
+		for n := 1; n < 20; n++ {
+			r, took := submit(n)
+			switch {
+			case r == nil || r.Effect != refuser.NotRun || took > 10*time.Millisecond:
+				t.Errorf("submission %d: %v after %v, want a refusal at once", n, r, took)
+			case r.RetryAfterMillis < 500:
+				t.Errorf("submission %d: return after %d ms", n, r.RetryAfterMillis)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		store.SetFaults(simulator.StoreFaults{})
+		time.Sleep(1200 * time.Millisecond)
+		if r, took := submit(20); r != nil || took > 100*time.Millisecond {
+			t.Errorf("after the outage: %v after %v", r, took)
+		}
+		page, err := store.Client("check").Newest(t.Context(), TopicInbox, 0, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, rec := range page.Records {
+			if e, _, err := Decode(rec); err != nil || refused[e.Submission.Job.ID] {
+				t.Errorf("stored %s, which was refused as not run (%v)", rec.Key, err)
+			}
+		}
+	})
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -8,7 +8,9 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/balsamcove/balsamcove/internal/breaker"
 	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/elector"
 	"github.com/balsamcove/balsamcove/internal/logger"
 	"github.com/balsamcove/balsamcove/internal/messenger"
 	"github.com/balsamcove/balsamcove/internal/sleeper"
@@ -47,7 +49,8 @@
 	rpc         *messenger.Client
 	locator     *Locator
 	cells       int
-	batchers    []*batcher
+	couriers    []*courier
+	breaker     *breaker.Breaker
 	localHolder func(identifier.Cell) (Holder, bool)
 	logger      *zap.Logger
 }
@@ -56,12 +59,22 @@
 // if this host holds it.
 func New(store connector.Store, rpc *messenger.Client, locator *Locator, cells int, localHolder func(identifier.Cell) (Holder, bool), logger *zap.Logger) *Service {
 	s := &Service{rpc: rpc, locator: locator, cells: cells, localHolder: localHolder, logger: logger}
-	for cell := range cells {
-		s.batchers = append(s.batchers, &batcher{store: store, partition: connector.Partition(cell)})
+	s.breaker = breaker.New("store, for submissions", func(ctx context.Context) error {
+		_, err := store.Owners(ctx, elector.Group)
+		return err
+	}, logger)
+	for cell := range identifier.Cell(cells) {
+		s.couriers = append(s.couriers, &courier{
+			cell: cell, batcher: &batcher{store: store, partition: connector.Partition(cell), logger: logger},
+			rpc: rpc, locator: locator, breaker: s.breaker,
+		})
 	}
 	return s
 }
 
+// Run watches whether the store answers, until ctx ends.
+func (s *Service) Run(ctx context.Context) error { return s.breaker.Run(ctx) }
+
 // Submit stores a job. The error is a *refuser.Refusal; unless its effect is refuser.Unknown,
 // the job will not run.
 func (s *Service) Submit(ctx context.Context, in Submission) error {
@@ -84,20 +97,29 @@
 	return s.storeRecord(ctx, identifier.CellOf(in.ID, s.cells), record, in.ID)
 }
 
-// storeRecord appends a record to the inbox of a cell. Storing the same record twice is
-// harmless, so an append of unknown outcome is repeated until ctx ends.
+// storeRecord appends a record to the inbox of a cell. A record that was not sent is refused as soon
+// as the store is known not to answer. Storing the same record twice is harmless, so an append of
+// unknown outcome is repeated until ctx ends, though not while the store does not answer.
 func (s *Service) storeRecord(ctx context.Context, cell identifier.Cell, record connector.KeyedRecord, id identifier.Job) error {
+	if wait, open := s.breaker.RetryAfter(); open {
+		return s.refuseUnsent(id, wait, errStoreSilent)
+	}
 	unknown := false
 	for ctx.Err() == nil {
-		err := s.batchers[cell].append(ctx, record)
+		err := s.appendWhileAnswered(ctx, cell, record)
 		if err == nil {
 			return nil
 		}
 		unknown = unknown || errors.Is(err, connector.ErrUnknown)
-		if !unknown {
-			s.logger.Warn("inbox record not stored", zap.String("request", string(id)), logger.Err(err))
-			return refuser.New(refuser.CodeUnavailable, "the store turns this host away: %v", err).WithRetryAfter(storeRetryAfter)
+		if !unknown && ctx.Err() == nil {
+			wait, open := s.breaker.RetryAfter()
+			if !open {
+				s.breaker.Suspect()
+				wait = storeRetryAfter
+			}
+			return s.refuseUnsent(id, wait, err)
 		}
+		s.breaker.AwaitClosed(ctx)
 		sleeper.Pause(ctx, appendRetryDelay)
 	}
 	if !unknown {
@@ -107,6 +129,21 @@
 	return refuser.NewUnknown(refuser.CodeUnavailable, "the store did not answer in time")
 }
 
+var errStoreSilent = errors.New("the store does not answer this host, nor others for it")
+
+// appendWhileAnswered appends a record, and gives up once the store is known not to answer.
+func (s *Service) appendWhileAnswered(ctx context.Context, cell identifier.Cell, record connector.KeyedRecord) error {
+	ctx, cancel := s.breaker.WhileClosed(ctx)
+	defer cancel()
+	return s.couriers[cell].append(ctx, record)
+}
+
+// refuseUnsent returns the refusal of a job whose record was not stored, for the reason err.
+func (s *Service) refuseUnsent(id identifier.Job, wait time.Duration, err error) *refuser.Refusal {
+	s.logger.Warn("inbox record not stored", zap.String("request", string(id)), zap.Duration("retryAfter", wait), logger.Err(err))
+	return refuser.New(refuser.CodeUnavailable, "the job cannot be stored: %v", err).WithRetryAfter(wait)
+}
+
 func (s *Service) callHost(ctx context.Context, peer string, method messenger.Method, params, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, holderCallTimeout)
 	defer cancel()
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -137,7 +137,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := simulator.NewStore(1, 1)
 		store.SetFaults(simulator.StoreFaults{Slow: time.Second})
-		b := &batcher{store: store.Client("front")}
+		b := &batcher{store: store.Client("front"), logger: zap.NewNop()}
 		go func() { _ = b.append(t.Context(), connector.KeyedRecord{Key: "a", Value: []byte("1")}) }()
 		synctest.Wait()
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,8 @@
 	// through a peer: many times the usual response time, and less than a third of the TTL of a
 	// group membership.
 	hedgeDelay = 350 * time.Millisecond
+	// maxAppendAllowance bounds what is added to hedgeDelay for an append while the store is slow.
+	maxAppendAllowance = 1600 * time.Millisecond
 	// probeInterval is how often the store is probed directly while calls go to peers first.
 	probeInterval = 500 * time.Millisecond
 	// probeGroup is a group without members; listing its owners is a cheap probe.
@@ -47,6 +50,8 @@
 	linkRate int
 	// readSizes and pageSizes limit what Read and Newest request through a peer.
 	readSizes, pageSizes readSizes
+	// appendDelay is how long, in nanoseconds, the store is expected to take for an append.
+	appendDelay atomic.Int64
 
 	mu    sync.Mutex
 	peers func() []string
@@ -117,13 +122,18 @@
 // timeouts by the time for which the store may wait for records or the link is busy with a large
 // append.
 func hedgedCall[T any](ctx context.Context, s *Store, wait time.Duration, call func(context.Context, connector.Store) (T, error)) (T, error) {
+	return hedgedCallAfter(ctx, s, func() time.Duration { return wait }, call)
+}
+
+// hedgedCallAfter is hedgedCall with a wait that may grow during the call.
+func hedgedCallAfter[T any](ctx context.Context, s *Store, wait func() time.Duration, call func(context.Context, connector.Store) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	viaPeer := make(chan outcome[T], 1)
 	peersFirst, degraded := s.route()
 	if peersFirst {
-		go func() { viaPeer <- callPeers(ctx, s, wait, call) }()
-		if out, ok := awaitPeers(viaPeer, wait); ok {
+		go func() { viaPeer <- callPeers(ctx, s, wait(), call) }()
+		if out, ok := awaitPeers(viaPeer, wait()); ok {
 			if !peerMayHelp(out.err) {
 				return out.value, out.err
 			}
@@ -150,9 +160,9 @@
 		if !peerMayHelp(out.err) || ctx.Err() != nil {
 			return out.value, out.err
 		}
-		return mergeOutcomes(out, callPeers(ctx, s, wait, call))
+		return mergeOutcomes(out, callPeers(ctx, s, wait(), call))
 	}
-	go func() { viaPeer <- callPeers(ctx, s, wait, call) }()
+	go func() { viaPeer <- callPeers(ctx, s, wait(), call) }()
 	return firstSuccess(s, direct, viaPeer)
 }
 
@@ -172,8 +182,9 @@
 // awaitDirect waits for the outcome of a direct call. Ok is false if peers should be called as
 // well: nothing has arrived for hedgeDelay, or the store was found not to answer this host
 // (degraded was closed) before any part of the answer arrived.
-func awaitDirect[T any](direct <-chan outcome[T], progress, degraded <-chan struct{}, wait time.Duration) (out outcome[T], ok bool) {
-	hedge := time.NewTimer(wait + hedgeDelay)
+func awaitDirect[T any](direct <-chan outcome[T], progress, degraded <-chan struct{}, wait func() time.Duration) (out outcome[T], ok bool) {
+	began := time.Now()
+	hedge := time.NewTimer(wait() + hedgeDelay)
 	defer hedge.Stop()
 	for {
 		select {
@@ -181,9 +192,13 @@
 			return out, true
 		case <-progress:
 			hedge.Reset(hedgeDelay)
-			degraded = nil
+			degraded, began = nil, time.Time{}
 		case <-hedge.C:
-			return out, false
+			more := wait() + hedgeDelay - time.Since(began)
+			if more <= 0 {
+				return out, false
+			}
+			hedge.Reset(more)
 		case <-degraded:
 			return out, false
 		}
@@ -352,7 +367,24 @@
 
 // Append implements connector.Store.
 func (s *Store) Append(ctx context.Context, a connector.KeyedAppend) (identifier.Offset, error) {
-	return hedgedCall(ctx, s, s.transferTime(a), func(ctx context.Context, st connector.Store) (identifier.Offset, error) { return st.Append(ctx, a) })
+	transfer := s.transferTime(a)
+	return hedgedCallAfter(ctx, s, func() time.Duration { return transfer + s.appendAllowance() }, func(ctx context.Context, st connector.Store) (identifier.Offset, error) {
+		began := time.Now()
+		end, err := st.Append(ctx, a)
+		if st == s.direct && err == nil {
+			s.ExpectAppendDelay(time.Since(began))
+		}
+		return end, err
+	})
+}
+
+// ExpectAppendDelay sets how long the store is expected to take for an append.
+func (s *Store) ExpectAppendDelay(d time.Duration) { s.appendDelay.Store(int64(d)) }
+
+// appendAllowance returns how much longer than hedgeDelay an append may take: a slow store takes the
+// appends to a partition one after the other, so that a second one through a peer would delay both.
+func (s *Store) appendAllowance() time.Duration {
+	return min(max(2*time.Duration(s.appendDelay.Load())-hedgeDelay, 0), maxAppendAllowance)
 }
 
 // base64Overhead is the factor by which base64 lengthens byte slices in JSON.
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/balsamcove/balsamcove/internal/admitter"
 	"github.com/balsamcove/balsamcove/internal/announcer"
 	"github.com/balsamcove/balsamcove/internal/carrier"
 	"github.com/balsamcove/balsamcove/internal/connector"
@@ -144,10 +145,11 @@
 		rpc: messenger.NewClient(messenger.WithCloseOnTimeout()), terms: map[identifier.Cell]*runningTerm{},
 	}
 	sup.pool = carrier.NewPool(runner, s.MaxWorkers, logger, carrier.WithCompression(s.linkLimited()), carrier.WithCellClocks(sup.cellClocks),
-		carrier.WithConfigVersions(sup.configVersion, directory.Expect))
+		carrier.WithConfigVersions(sup.configVersion, directory.Expect), carrier.WithOutlooks(sup.outlooks))
 	sup.locator = intake.NewLocator(store, s.PeerAddress, s.Cells, logger)
 	sup.carrier = carrier.NewHost(carrier.Offer{Name: s.Name, DataCentre: s.DataCentre, MaxWorkers: s.MaxWorkers}, runner, sup.locator, logger,
-		carrier.WithClockObserver(sup.observeClock), carrier.WithHostConfigVersions(sup.configVersion, directory.Expect))
+		carrier.WithClockObserver(sup.observeClock), carrier.WithHostConfigVersions(sup.configVersion, directory.Expect),
+		carrier.WithOutlookObserver(sup.observeOutlook))
 	store.SetPeers(sup.locator.Peers)
 	sup.announcer = announcer.New(s.Name, announcer.Announcement{Address: s.PeerAddress, Cores: s.Cores}, store, logger)
 	hostEligibility := &eligibility{
@@ -196,6 +198,23 @@
 	return out
 }
 
+// outlooks returns the outlooks of the cells that this host holds.
+func (s *Supervisor) outlooks() map[identifier.Cell]admitter.Outlook {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[identifier.Cell]admitter.Outlook, len(s.terms))
+	for cell, t := range s.terms {
+		out[cell] = t.term.Outlook()
+	}
+	return out
+}
+
+// observeOutlook receives the outlook of a cell that another host holds.
+func (s *Supervisor) observeOutlook(cell identifier.Cell, o admitter.Outlook) {
+	s.store.ExpectAppendDelay(o.StoreDelay)
+	s.intake.ObserveOutlook(cell, o)
+}
+
 // Run serves other hosts and callers until ctx ends, and holds cells until scheduling ends, which
 // may be earlier. It returns the first error of a component, or nil.
 func (s *Supervisor) Run(ctx, scheduling context.Context) error {
@@ -210,6 +229,7 @@
 	g.Go(func() error { return server.Run(ctx) })
 	g.Go(func() error { return s.directory.Run(ctx) })
 	g.Go(func() error { return s.locator.Run(ctx) })
+	g.Go(func() error { return s.intake.Run(ctx) })
 	g.Go(func() error { return s.announcer.Run(ctx) })
 	g.Go(func() error { return s.pool.Run(ctx) })
 	g.Go(func() error { return s.carrier.Run(ctx) })
@@ -226,7 +246,7 @@
 // reach the store itself, messages of hosts that call workers on behalf of this one, requests for
 // the clock of a cell or for the configuration, and all calls of the intake.
 func (s *Supervisor) handle(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
-	if out, ok, err := relayer.Serve(ctx, s.store.Direct(), method, params); ok {
+	if out, ok, err := relayer.Serve(ctx, s.intake.Grouping(s.store.Direct()), method, params); ok {
 		return out, err
 	}
 	if out, ok, err := s.pool.Handle(ctx, method, params); ok {
