--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -39,6 +39,8 @@
 	mu sync.Mutex
 	// suspectedAt is when the suspicion began that opened the breaker.
 	suspectedAt time.Time
+	// probed is closed and replaced after each probe.
+	probed chan struct{}
 	// opened is closed while the breaker is open, and closed while it is closed.
 	opened, closed chan struct{}
 }
@@ -46,7 +48,7 @@
 // New returns a closed breaker. Probe makes a cheap call to the dependency, and name identifies it in
 // the log.
 func New(name string, probe func(context.Context) error, l *zap.Logger) *Breaker {
-	b := &Breaker{probe: probe, dependency: logger.Dependency{Name: name, Logger: l}, suspicions: make(chan struct{}, 1), opened: make(chan struct{}), closed: make(chan struct{})}
+	b := &Breaker{probe: probe, dependency: logger.Dependency{Name: name, Logger: l}, suspicions: make(chan struct{}, 1), probed: make(chan struct{}), opened: make(chan struct{}), closed: make(chan struct{})}
 	close(b.closed)
 	return b
 }
@@ -60,6 +62,21 @@
 	}
 }
 
+// Confirm probes the dependency and reports whether it answers; false if ctx ends before.
+func (b *Breaker) Confirm(ctx context.Context) bool {
+	b.mu.Lock()
+	probed := b.probed
+	b.mu.Unlock()
+	b.Suspect()
+	select {
+	case <-probed:
+		_, open := b.RetryAfter()
+		return !open
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Run probes the dependency after each suspicion, until it answers. It returns nil when ctx ends.
 func (b *Breaker) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -80,7 +97,9 @@
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		answered = b.recordProbe(suspectedAt, b.probe(probeCtx))
 		cancel()
-		sleeper.Pause(ctx, probeInterval)
+		if !answered {
+			sleeper.Pause(ctx, probeInterval)
+		}
 	}
 }
 
@@ -89,6 +108,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.dependency.Report(err)
+	close(b.probed)
+	b.probed = make(chan struct{})
 	switch open := b.isOpen(); {
 	case err != nil && !open:
 		b.suspectedAt = suspectedAt
--- a/internal/intake/courier.go
+++ b/internal/intake/courier.go
@@ -19,6 +19,8 @@
 	// slowAppend is the duration from which the store counts as slow, many times the usual one even
 	// over long links.
 	slowAppend = 100 * time.Millisecond
+	// suspectAfter is how long an append may take before it is found out whether the store answers.
+	suspectAfter = 250 * time.Millisecond
 	// slowPeriod is for how long the store counts as slow after the holder has said so, which it does
 	// with every answer to a heartbeat.
 	slowPeriod = time.Second
@@ -70,9 +72,8 @@
 				return nil
 			}
 			c.distrustHolder()
-			return markIfUnknown(c.appendHere(ctx, r), errors.Is(err, connector.ErrUnknown))
+			return markIfUnknown(c.appendConfirmed(ctx, r), errors.Is(err, connector.ErrUnknown))
 		case <-patience.C:
-			c.breaker.Suspect()
 			if !c.slow() {
 				return c.appendBeside(ctx, r, atHolder)
 			}
@@ -87,7 +88,7 @@
 func (c *courier) appendBeside(ctx context.Context, r connector.KeyedRecord, atHolder <-chan error) error {
 	c.distrustHolder()
 	here := make(chan error, 1)
-	go func() { here <- c.appendHere(ctx, r) }()
+	go func() { here <- c.appendConfirmed(ctx, r) }()
 	holderErr, hereErr := errUnanswered, error(nil)
 	for ended := 0; ended < 2; ended++ {
 		select {
@@ -111,9 +112,27 @@
 	return errors.Mark(err, connector.ErrUnknown)
 }
 
-// appendHere appends a record together with others that this host is to append.
+// errStoreSilent is the outcome of an append that is not sent since the store does not answer.
+var errStoreSilent = errors.Mark(errors.New("the store does not answer this host, nor others for it"), connector.ErrNotSent)
+
+// appendConfirmed appends a record from this host, if the store answers. Without that, the outcome of
+// most appends at the beginning of an outage would be unknown.
+func (c *courier) appendConfirmed(ctx context.Context, r connector.KeyedRecord) error {
+	if !c.breaker.Confirm(ctx) {
+		return errStoreSilent
+	}
+	return c.appendHere(ctx, r)
+}
+
+// appendHere appends a record together with others that this host is to append. It is withdrawn, unless
+// it has been sent, once the store is known not to answer.
 func (c *courier) appendHere(ctx context.Context, r connector.KeyedRecord) error {
-	suspicion := time.AfterFunc(slowAppend, c.breaker.Suspect)
+	if _, open := c.breaker.RetryAfter(); open {
+		return errStoreSilent
+	}
+	ctx, cancel := c.breaker.WhileClosed(ctx)
+	defer cancel()
+	suspicion := time.AfterFunc(suspectAfter, c.breaker.Suspect)
 	defer suspicion.Stop()
 	return c.batcher.append(ctx, r)
 }
--- a/internal/intake/courier_test.go
+++ b/internal/intake/courier_test.go
@@ -30,7 +30,7 @@
 	}
 	address = ln.Addr().String()
 	_ = ln.Close()
-	s := newService(store)
+	s := newService(t, store)
 	s.localHolder = func(identifier.Cell) (Holder, bool) { return nil, true }
 	rpc, err := messenger.Listen(address, func(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
 		time.Sleep(delay)
@@ -59,7 +59,7 @@
 	holder := serveHolder(t, store.Client("holder"), 0)
 	var wg sync.WaitGroup
 	for n := range 30 {
-		s := newService(store.Client("front"))
+		s := newService(t, store.Client("front"))
 		s.locator.holders[0] = holder
 		s.ObserveOutlook(0, admitter.Outlook{StoreDelay: 300 * time.Millisecond})
 		wg.Go(func() {
@@ -85,7 +85,7 @@
 		"silent": serveHolder(t, store.Client("holder"), 1500*time.Millisecond),
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newService(store.Client("front"))
+			s := newService(t, store.Client("front"))
 			s.locator.holders[0] = holder
 			for n, within := range []time.Duration{900 * time.Millisecond, 100 * time.Millisecond} {
 				began := time.Now()
@@ -106,8 +106,7 @@
 func TestSilentStoreIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := simulator.NewStore(1, 1)
-		s := newService(store.Client("front"))
-		go func() { _ = s.Run(t.Context()) }()
+		s := newService(t, store.Client("front"))
 		store.SetFaults(simulator.StoreFaults{Down: true})
 		refused := map[identifier.Job]bool{}
 		submit := func(n int) (*refuser.Refusal, time.Duration) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -106,7 +106,7 @@
 	}
 	unknown := false
 	for ctx.Err() == nil {
-		err := s.appendWhileAnswered(ctx, cell, record)
+		err := s.couriers[cell].append(ctx, record)
 		if err == nil {
 			return nil
 		}
@@ -114,7 +114,6 @@
 		if !unknown && ctx.Err() == nil {
 			wait, open := s.breaker.RetryAfter()
 			if !open {
-				s.breaker.Suspect()
 				wait = storeRetryAfter
 			}
 			return s.refuseUnsent(id, wait, err)
@@ -129,15 +128,6 @@
 	return refuser.NewUnknown(refuser.CodeUnavailable, "the store did not answer in time")
 }
 
-var errStoreSilent = errors.New("the store does not answer this host, nor others for it")
-
-// appendWhileAnswered appends a record, and gives up once the store is known not to answer.
-func (s *Service) appendWhileAnswered(ctx context.Context, cell identifier.Cell, record connector.KeyedRecord) error {
-	ctx, cancel := s.breaker.WhileClosed(ctx)
-	defer cancel()
-	return s.couriers[cell].append(ctx, record)
-}
-
 // refuseUnsent returns the refusal of a job whose record was not stored, for the reason err.
 func (s *Service) refuseUnsent(id identifier.Job, wait time.Duration, err error) *refuser.Refusal {
 	s.logger.Warn("inbox record not stored", zap.String("request", string(id)), zap.Duration("retryAfter", wait), logger.Err(err))
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -24,10 +24,12 @@
 	return submitter.Job{ID: identifier.Job(fmt.Sprintf("%016x", n)), Queue: "plans", Steps: []submitter.Step{{Count: 1}}}
 }
 
-func newService(store connector.Store) *Service {
+func newService(t *testing.T, store connector.Store) *Service {
 	rpc := messenger.NewClient()
 	locator := NewLocator(store, "self", 1, zap.NewNop())
-	return New(store, rpc, locator, 1, func(identifier.Cell) (Holder, bool) { return nil, false }, zap.NewNop())
+	s := New(store, rpc, locator, 1, func(identifier.Cell) (Holder, bool) { return nil, false }, zap.NewNop())
+	go func() { _ = s.Run(t.Context()) }()
+	return s
 }
 
 // TestConcurrentSubmissionsShareAppends checks that submissions that arrive while an append is in
@@ -36,7 +38,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := simulator.NewStore(1, 1)
 		store.SetFaults(simulator.StoreFaults{Slow: 100 * time.Millisecond})
-		s := newService(store.Client("front"))
+		s := newService(t, store.Client("front"))
 		began := time.Now()
 		var wg sync.WaitGroup
 		for n := range 40 {
@@ -63,7 +65,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := simulator.NewStore(1, 1)
 		store.SetFaults(simulator.StoreFaults{Slow: 100 * time.Millisecond})
-		s := newService(store.Client("front"))
+		s := newService(t, store.Client("front"))
 		large := job(0)
 		large.Steps[0].Image = identifier.Image(strings.Repeat("x", connector.MaxRecordBytes))
 		var wg sync.WaitGroup
@@ -102,7 +104,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := simulator.NewStore(1, 1)
 				store.SetFaults(tt.faults)
-				s := newService(store.Client("front"))
+				s := newService(t, store.Client("front"))
 				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 				defer cancel()
 				began := time.Now()
