Hosts that are cut off from the store and the holder are not ready

Cause: hosts of a data centre that is cut off went on taking callers and refused them for 5 s. Change: a host that has not heard the holder for 0.9 s probes the store, and is not ready while neither answers.

--- a/internal/intake/courier.go
+++ b/internal/intake/courier.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	holderPatience = 500 * time.Millisecond
 	// distrustPeriod is for how long this host makes its own appends after the holder has not answered.
 	distrustPeriod = 2 * time.Second
+	// lostAfter is how long a holder that answers heartbeats every 400 ms may be silent.
+	lostAfter = 900 * time.Millisecond
 	// groupTimeout bounds an append by the holder for another host. A slow store lets it wait for the
 	// one before.
 	groupTimeout = 2200 * time.Millisecond
@@ -49,6 +52,8 @@
 	// slowUntil is until when the store counts as slow, and distrustedUntil until when the holder counts
 	// as not answering.
 	slowUntil, distrustedUntil time.Time
+	// heardAt is when a holder of the cell, on another host, last answered a heartbeat.
+	heardAt time.Time
 }
 
 // errUnanswered is the outcome of an append that the holder has not answered.
@@ -185,13 +190,45 @@
 	c.slowUntil = time.Now().Add(slowPeriod)
 }
 
+// heard records that a holder of the cell has answered a heartbeat.
+func (c *courier) heard() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heardAt = time.Now()
+}
+
+// lost reports whether a holder of the cell has been heard from, but not for lostAfter.
+func (c *courier) lost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.heardAt.IsZero() && time.Since(c.heardAt) > lostAfter
+}
+
 // ObserveOutlook takes note of what the holder of a cell says about it.
 func (s *Service) ObserveOutlook(cell identifier.Cell, o admitter.Outlook) {
-	if int(cell) < len(s.couriers) && o.StoreDelay >= slowAppend {
+	if int(cell) >= len(s.couriers) {
+		return
+	}
+	s.couriers[cell].heard()
+	if o.StoreDelay >= slowAppend {
 		s.couriers[cell].markSlow()
 	}
 }
 
+// Isolated reports whether this host is cut off: neither the store answers it, nor the holder of a cell
+// that it was in touch with. Callers are served better by other hosts. An outage of the store alone
+// isolates no host.
+func (s *Service) Isolated() bool {
+	if !slices.ContainsFunc(s.couriers, (*courier).lost) {
+		return false
+	}
+	_, open := s.breaker.RetryAfter()
+	if !open {
+		s.breaker.Suspect()
+	}
+	return open
+}
+
 // GroupingStore is the store as this host calls it for others: their appends to the inbox of a cell that
 // it holds are grouped with its own.
 type GroupingStore struct {
--- a/internal/intake/courier_test.go
+++ b/internal/intake/courier_test.go
@@ -151,3 +151,42 @@
 		}
 	})
 }
+
+// TestOnlyHostsThatAreCutOffAreIsolated checks which hosts send their callers to others.
+func TestOnlyHostsThatAreCutOffAreIsolated(t *testing.T) {
+	for name, tt := range map[string]struct {
+		storeDown, holderSilent, everHeard bool
+		want                               bool
+	}{
+		"all is well":                  {false, false, true, false},
+		"store answers nobody":         {true, false, true, false},
+		"holder is gone":               {false, true, true, false},
+		"cut off":                      {true, true, true, true},
+		"never in touch with a holder": {true, true, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := simulator.NewStore(1, 1)
+				s := newService(t, store.Client("front"))
+				if tt.everHeard {
+					s.ObserveOutlook(0, admitter.Outlook{})
+				}
+				store.SetFaults(simulator.StoreFaults{Down: tt.storeDown})
+				for range 8 {
+					if s.Isolated(); !tt.holderSilent {
+						s.ObserveOutlook(0, admitter.Outlook{})
+					}
+					time.Sleep(400 * time.Millisecond)
+				}
+				if got := s.Isolated(); got != tt.want {
+					t.Errorf("isolated: %v, want %v", got, tt.want)
+				}
+				store.SetFaults(simulator.StoreFaults{})
+				time.Sleep(1200 * time.Millisecond)
+				if s.Isolated() {
+					t.Error("isolated although the store answers")
+				}
+			})
+		})
+	}
+}
