Cells lend idle workers to each other

Cause: workers and jobs are dealt to cells by a hash, once and for good. Weighed in docs/design/room-between-cells.md: one cell, moving jobs, starting tasks through the other cell.

Change: a holder whose tasks find no room for a second asks the other holders for workers; they lend idle ones, with a reserve until the need is urgent, and vacate others if half of the service is free. Both cells store who holds a worker under their epoch fences, and the grant goes through the borrower's inbox. A base that rises with each transfer is added to epochs, so that earlier owners are refused. One cell: no requests, no records.

Trials with a guard taken out each fail: epochs without a base, use before the title is stored, workers with runs lent, old grants accepted, grants not sent again after a takeover, no vacating.

--- a/internal/dispatcher/effect.go
+++ b/internal/dispatcher/effect.go
@@ -41,6 +41,12 @@
 		t.runInPool(func() { t.askAdviser(ctx, c) }, c)
 	case planner.DeleteSubmissions:
 		t.runInPool(func() { t.deleteSubmissions(ctx, c) }, c)
+	case planner.RequestRoom:
+		t.runInPool(func() { t.askForRoom(ctx, c) }, c)
+	case planner.SendGrants:
+		t.runInPool(func() { t.sendGrants(ctx, c) }, c)
+	case planner.DeleteGrants:
+		t.runInPool(func() { t.deleteGrants(ctx, c) }, c)
 	case planner.StepDown:
 		return errors.Mark(errors.Newf("step down: %s", c.Reason), ErrSuperseded)
 	}
@@ -81,7 +87,9 @@
 		t.Notify(planner.AdviceAnswered{Step: c.Step, Workers: c.Workers, Err: err})
 	case planner.DeleteSubmissions:
 		t.Notify(planner.SubmissionsDeleted{Jobs: c.Jobs, Err: err})
-	case planner.StepDown:
+	case planner.SendGrants:
+		t.Notify(planner.GrantsSent{Grants: c.Grants, Err: err})
+	case planner.RequestRoom, planner.DeleteGrants, planner.StepDown:
 	}
 }
 
--- a/internal/dispatcher/saver.go
+++ b/internal/dispatcher/saver.go
@@ -137,6 +137,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if records, err = appendTitleRecords(records, b.Titles); err != nil {
+		return nil, err
+	}
 	return appendHealthRecords(records, b.Healths)
 }
 
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -33,6 +33,8 @@
 	keyJobPrefix    = "j"
 	keyLeasePrefix  = "w"
 	keyHealthPrefix = "h"
+	// keyTitlePrefix begins the keys of the owners of lent workers.
+	keyTitlePrefix = "o"
 	// writerName is the same for all holders, so that the store fences off earlier epochs.
 	writerName = "holder"
 )
@@ -68,6 +70,7 @@
 		opts = append(opts, planner.WithLog(t.decisions))
 	}
 	p := planner.New(epoch, now, t.settings.Planner, opts...)
+	p.Inform(now, planner.TitlesRestored{Records: t.decodeTitles(work)})
 	p.Inform(now, t.inboxEvents(inbox)...)
 	p.Inform(now, planner.HealthRestored{Records: t.decodeHealth(work)}, planner.JobsRestored{Records: t.decodeJobs(work)},
 		planner.EstimatesRestored{Records: t.decodeEstimates(work)})
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -85,6 +85,7 @@
 	unpaused       func() bool
 	observeConfig  func(identifier.ConfigVersion)
 	uptime         func() time.Duration
+	requestRoom    func(context.Context, identifier.Cell, planner.RoomNeed) error
 
 	events *eventQueue
 	stats  loadStats
@@ -144,6 +145,12 @@
 // is Go's monotonic clock, which does not.
 func WithUptime(uptime func() time.Duration) Option { return func(t *Term) { t.uptime = uptime } }
 
+// WithRoomRequests sets a function that asks the holder of another cell for idle workers, which arrive
+// as grants in the inbox. By default there are no other cells.
+func WithRoomRequests(request func(ctx context.Context, to identifier.Cell, need planner.RoomNeed) error) Option {
+	return func(t *Term) { t.requestRoom = request }
+}
+
 // WithTenure sets a function that returns a number which changes whenever another host may have
 // begun a term of the cell. After a change, leases are renewed only once an append has succeeded,
 // which shows that this term is still the newest.
@@ -172,8 +179,9 @@
 			return renewer.ClockEstimate{}
 		},
 		tenure: func() uint64 { return 0 }, unpaused: func() bool { return true }, observeConfig: func(identifier.ConfigVersion) {},
-		uptime: func() time.Duration { return time.Since(created) },
-		events: newEventQueue(), attempts: map[renewer.TakeoverID]time.Duration{},
+		uptime:      func() time.Duration { return time.Since(created) },
+		requestRoom: func(context.Context, identifier.Cell, planner.RoomNeed) error { return nil },
+		events:      newEventQueue(), attempts: map[renewer.TakeoverID]time.Duration{},
 		saveDue: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
@@ -408,6 +416,8 @@
 			t.observeConfig(e.Submission.ConfigVersion)
 		case e.Cancellation != nil:
 			events = append(events, planner.JobCancelled{ID: e.Cancellation.ID, At: e.Cancellation.At})
+		case e.Grant != nil:
+			events = append(events, planner.WorkerGranted{Worker: e.Grant.Worker, From: e.Grant.From, Base: e.Grant.Base, Key: r.Key})
 		}
 	}
 	return events
--- a/internal/intake/record.go
+++ b/internal/intake/record.go
@@ -40,9 +40,18 @@
 	At identifier.UnixMillis `cbor:"2,keyasint" json:"at"`
 }
 
+// Grant lends a worker to the cell in whose inbox it is. Base is added to the epochs of the cell's orders
+// to the worker.
+type Grant struct {
+	Worker identifier.Worker `cbor:"1,keyasint" json:"worker"`
+	From   identifier.Cell   `cbor:"2,keyasint" json:"from"`
+	Base   identifier.Epoch  `cbor:"3,keyasint" json:"base"`
+}
+
 const (
 	submissionPrefix   = "s"
 	cancellationPrefix = "c"
+	grantPrefix        = "g"
 	keySeparator       = ":"
 	hexBase            = 16
 )
@@ -71,6 +80,16 @@
 	return connector.KeyedRecord{Key: cancellationPrefix + string(c.ID), Value: value}, nil
 }
 
+// EncodeGrant returns the inbox record of a grant. The key contains the base, so that an older grant
+// which is stored late replaces no newer one.
+func EncodeGrant(g Grant) (connector.KeyedRecord, error) {
+	value, err := cbor.Marshal(g)
+	if err != nil {
+		return connector.KeyedRecord{}, errors.Wrap(err, "encode grant")
+	}
+	return connector.KeyedRecord{Key: grantPrefix + string(g.Worker) + keySeparator + strconv.FormatUint(uint64(g.Base), hexBase), Value: value}, nil
+}
+
 // Deletions returns the records that delete a job's cancellation and, unless submissionKey is
 // empty, its submission.
 func Deletions(id identifier.Job, submissionKey string) []connector.KeyedRecord {
@@ -81,10 +100,11 @@
 	return out
 }
 
-// Entry is a decoded inbox record: either a submission or a cancellation.
+// Entry is a decoded inbox record: a submission, a cancellation or a grant.
 type Entry struct {
 	Submission   *Submission
 	Cancellation *Cancellation
+	Grant        *Grant
 }
 
 // Decode decodes an inbox record; ok is false for a deletion. The error is marked
@@ -100,6 +120,13 @@
 		var c Cancellation
 		c, err = catcher.Unmarshal[Cancellation](cbor.Unmarshal, r.Value)
 		e.Cancellation = &c
+	case strings.HasPrefix(r.Key, grantPrefix):
+		var g Grant
+		g, err = catcher.Unmarshal[Grant](cbor.Unmarshal, r.Value)
+		if err == nil && (g.Worker == "" || g.Base == 0 || g.From < 0) {
+			err = errors.Newf("grant of worker %q by cell %d with base %d", g.Worker, g.From, g.Base)
+		}
+		e.Grant = &g
 	default:
 		err = errors.Newf("unknown key %q", r.Key)
 	}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -38,6 +38,7 @@
 	MethodJobList       Method = "jobList"
 	MethodCellClock     Method = "cellClock"
 	MethodConfig        Method = "config"
+	MethodRequestRoom   Method = "requestRoom"
 )
 
 // The calls of scheduling hosts to a platform that speaks this project's own protocol. The calls of
--- a/internal/planner/command.go
+++ b/internal/planner/command.go
@@ -44,6 +44,19 @@
 	}
 	// DeleteSubmissions deletes the stored submissions and cancellations of retired jobs.
 	DeleteSubmissions struct{ Jobs []Retired }
+	// RequestRoom asks the holder of another cell for idle workers. It needs no answer.
+	RequestRoom struct {
+		To   identifier.Cell
+		Need RoomNeed
+	}
+	// SendGrants adds grants of workers to the inbox of another cell.
+	SendGrants struct {
+		To     identifier.Cell
+		Grants []Grant
+	}
+	// DeleteGrants deletes grants from the inbox of this cell. It needs no answer: those that stay are
+	// deleted by a later holder.
+	DeleteGrants struct{ Keys []string }
 	// StepDown gives up the cell, since another holder has taken over.
 	StepDown struct{ Reason string }
 )
@@ -54,4 +67,7 @@
 func (PaceRun) command()           {}
 func (AskAdvice) command()         {}
 func (DeleteSubmissions) command() {}
+func (RequestRoom) command()       {}
+func (SendGrants) command()        {}
+func (DeleteGrants) command()      {}
 func (StepDown) command()          {}
--- a/internal/planner/event.go
+++ b/internal/planner/event.go
@@ -86,6 +86,27 @@
 		Jobs []Retired
 		Err  error
 	}
+	// TitlesRestored brings the owners of lent workers as saved by an earlier holder. It precedes
+	// everything else.
+	TitlesRestored struct{ Records []TitleRecord }
+	// WorkerGranted brings a worker that another cell has lent to this one. Key is the key of the grant in
+	// the inbox.
+	WorkerGranted struct {
+		Worker identifier.Worker
+		From   identifier.Cell
+		Base   identifier.Epoch
+		Key    string
+	}
+	// GrantsSent reports that a SendGrants was carried out, or its error.
+	GrantsSent struct {
+		Grants []Grant
+		Err    error
+	}
+	// RoomRequested brings a request for idle workers by the holder of another cell.
+	RoomRequested struct {
+		From identifier.Cell
+		Need RoomNeed
+	}
 	// Ticked reports that time has passed.
 	Ticked struct{}
 )
@@ -103,4 +124,8 @@
 func (PaceAnswered) event()       {}
 func (AdviceAnswered) event()     {}
 func (SubmissionsDeleted) event() {}
+func (TitlesRestored) event()     {}
+func (WorkerGranted) event()      {}
+func (GrantsSent) event()         {}
+func (RoomRequested) event()      {}
 func (Ticked) event()             {}
--- a/internal/planner/explainer.go
+++ b/internal/planner/explainer.go
@@ -23,6 +23,7 @@
 	obstacleDraining   obstacle = "are draining"
 	obstacleEvacuated  obstacle = "are in an evacuated data centre"
 	obstacleQuarantine obstacle = "are in quarantine"
+	obstacleVacated    obstacle = "are vacated for another cell"
 	obstacleSpare      obstacle = "have no processors to spare for scavengers"
 	obstacleTailHigh   obstacle = "run tasks whose tail is too long, or was until just now"
 	obstacleSlack      obstacle = "run tasks whose tail it would lengthen too much"
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -164,6 +164,10 @@
 	if !ok {
 		return
 	}
+	if w.base > 0 && e.Order.Epoch>>sequenceBits != w.base+p.epoch {
+		// The poll is of an earlier time at which this cell held the worker.
+		return
+	}
 	p.setPolling(w, false)
 	w.nextPoll = p.now
 	if e.Err != nil {
@@ -234,6 +238,7 @@
 		}
 	}
 	w.unreadableEnd = firstUnreadableEnd(e)
+	w.listsRuns = len(e.Answer.Active) > 0 || e.Answer.HasUnknownRuns() || len(e.Answer.Ended) >= maxListedEnds
 	if len(e.Answer.Ended) < maxListedEnds && !e.Answer.HasUnknownRuns() {
 		p.loseMissingRuns(w, e)
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -33,8 +33,8 @@
 
 // Settings are the planner's share of the workers and the durations it works with.
 type Settings struct {
-	// Cell is the planner's shard out of Cells; each worker belongs to one by the hash of its ID.
-	// If Cells is at most 1, all workers belong to the planner.
+	// Cell is the planner's shard out of Cells; each worker belongs to one by the hash of its ID,
+	// unless it was lent. If Cells is at most 1, all workers belong to the planner.
 	Cell  identifier.Cell
 	Cells int
 	// Lease is the lease that workers are asked for, MaxLease the longest that a worker grants
@@ -116,6 +116,10 @@
 	// shortages are the sizes of tasks that run to completion for which there was no room.
 	shortages shortages
 
+	// titles are the owners of lent workers, and lending what this cell needs of others.
+	titles  titles
+	lending lending
+
 	// adviceCalls are the questions to the adviser that are in flight.
 	adviceCalls adviceCalls
 
@@ -189,6 +193,7 @@
 		estimator:     estimator.New(),
 		scratchLoad:   estimator.Load{},
 		healthRecords: newHealthRecords(),
+		titles:        newTitles(),
 		servingImages: map[identifier.Image]int{},
 		colocations:   map[imagePair]int{},
 		servingIndex:  map[identifier.Image]int{},
@@ -246,6 +251,8 @@
 	p.profile.Enter(profiler.PhasePlacement)
 	p.placeTasks()
 	p.logScavengerWait()
+	p.requestRoom()
+	p.sendGrants()
 	p.profile.Enter(profiler.PhaseMaintenance)
 	p.pollWorkers()
 	p.profile.Enter(profiler.PhaseIdle)
@@ -283,7 +290,8 @@
 		p.adviceAnswered(e)
 	case SubmissionsDeleted:
 		p.submissionsDeleted(e)
-	case Ticked:
+	default:
+		p.applyLending(e)
 	}
 }
 
--- a/internal/planner/query.go
+++ b/internal/planner/query.go
@@ -64,6 +64,9 @@
 	// OverdueRuns are the runs held for longer than a lease without confirmation by their workers,
 	// and SilentWorkers the workers not heard from for as long.
 	OverdueRuns, SilentWorkers int
+	// LentWorkers are the workers of this cell that others hold, and BorrowedWorkers those of others that
+	// it holds.
+	LentWorkers, BorrowedWorkers int
 	// OldestReady is the longest time that a task has waited for a worker.
 	OldestReady time.Duration
 }
@@ -76,6 +79,7 @@
 		OrdersUnderWay: p.orderWindow.InFlight(), OrdersLimit: p.orderWindow.Limit(), UnsentClaims: p.unsentClaims, HeldClaims: len(p.heldClaims), HeldStops: len(p.stops.queued),
 		OverdueRuns: p.overdue.runs, SilentWorkers: p.overdue.workers,
 	}
+	s.LentWorkers, s.BorrowedWorkers = p.lentWorkers()
 	for j := range p.waiting {
 		s.OldestReady = max(s.OldestReady, p.now.Sub(j.readySince()))
 	}
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -131,6 +131,9 @@
 	// Healths are the changed health records of workers. Their times refer to Clock.
 	Healths []HealthRecord
 
+	// Titles are the changed owners of workers that were lent.
+	Titles []TitleRecord
+
 	// claims are the runs to start once the batch is stored, and ends the last of the ended runs that
 	// each worker may then forget.
 	claims []*run
@@ -175,7 +178,7 @@
 
 // Dirty reports whether there is something to store.
 func (p *Planner) Dirty() bool {
-	return len(p.dirtyJobs) > 0 || p.round.pending() || len(p.retirements.records) > 0 || len(p.newEnds) > 0 || p.leasesDirty() || len(p.healthRecords.changed) > 0
+	return len(p.dirtyJobs) > 0 || p.round.pending() || len(p.retirements.records) > 0 || len(p.newEnds) > 0 || p.leasesDirty() || len(p.healthRecords.changed) > 0 || len(p.titles.dirty) > 0
 }
 
 // leasesDirty reports whether changed leases have to be stored, or the cell's clock. The clock
@@ -211,7 +214,7 @@
 		p.suspendLease(w)
 	}
 	p.batchNumber++
-	b := Batch{Number: p.batchNumber}
+	b := Batch{Number: p.batchNumber, Titles: p.takeTitles()}
 	p.collectLeases(&b)
 	p.collectHealthRecords(&b)
 	return b
@@ -221,7 +224,7 @@
 // BatchSaved event before it takes another batch.
 func (p *Planner) TakeBatch() Batch {
 	p.batchNumber++
-	b := Batch{Number: p.batchNumber, Retired: p.retirements.takeRecords()}
+	b := Batch{Number: p.batchNumber, Retired: p.retirements.takeRecords(), Titles: p.takeTitles()}
 	p.collectLeases(&b)
 	p.collectHealthRecords(&b)
 	if p.now.Sub(p.estimatesSavedAt) >= estimatesSaveInterval {
@@ -258,6 +261,7 @@
 // acknowledged, and claimed runs are started.
 func (p *Planner) batchSaved(b Batch) {
 	p.leases.MarkStored(b.Number, b.Leases)
+	p.titlesStored(b.Titles)
 	for _, r := range b.Records {
 		if j, ok := p.jobs[r.ID]; ok {
 			j.visibleState = r.State
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -89,6 +89,8 @@
 type worker struct {
 	id    identifier.Worker
 	entry connector.WorkerEntry
+	// base is added to the holder's epoch in orders to the worker.
+	base identifier.Epoch
 	// index is the position of the worker in Planner.workerList.
 	index int
 	// listed is set while the directory contains the worker.
@@ -126,7 +128,9 @@
 	unreadableEnd identifier.EndNumber
 	// unsavedEnds is set while the worker has listed ends that are not stored yet.
 	unsavedEnds bool
-	runs        map[connector.RunID]*run
+	// listsRuns is set if the last answer to a poll listed active runs, or some that are not known.
+	listsRuns bool
+	runs      map[connector.RunID]*run
 	// used is what the runs reserve. Scavengers reserve no processors; what they were promised is
 	// in scavengerCPU.
 	used         identifier.Size
@@ -150,6 +154,8 @@
 	failures int
 	// quarantinedUntil is until when the worker gets no new runs because of its failures.
 	quarantinedUntil time.Time
+	// vacatedUntil is until when the worker gets no new runs, so that it can be lent.
+	vacatedUntil time.Time
 	// restoredStalls are the stalls that an earlier holder stored; they are matched with the runs
 	// once these are restored.
 	restoredStalls []Stall
@@ -177,10 +183,10 @@
 	return connector.WorkerTarget{ID: w.id, Address: w.entry.Address}
 }
 
-// epochOf returns the epoch of the next order to a worker: the holder's epoch in the high bits and
-// the worker's sequence in the low ones.
+// epochOf returns the epoch of the next order to a worker: the holder's epoch, and the base that the
+// worker has from earlier owners, in the high bits and the worker's sequence in the low ones.
 func (p *Planner) epochOf(w *worker) identifier.Epoch {
-	return p.epoch<<sequenceBits | identifier.Epoch(w.sequence)
+	return (w.base+p.epoch)<<sequenceBits | identifier.Epoch(w.sequence)
 }
 
 // ensureWorker returns the worker with an id and adds it first if it is not known. A new worker may
@@ -189,7 +195,7 @@
 	w, ok := p.workers[id]
 	if !ok {
 		w = &worker{
-			id: id, runs: map[connector.RunID]*run{}, leaseEnd: p.leases.InheritedExpiry(id, p.now), sequence: p.sequenceFloor + 1,
+			id: id, runs: map[connector.RunID]*run{}, leaseEnd: p.leases.InheritedExpiry(id, p.now), sequence: p.sequenceFloor + 1, base: p.baseOf(id),
 			servingByImage: map[identifier.Image]int{}, scavengersByImage: map[identifier.Image]int{},
 			scavengerShares: estimator.Load{}, baselineSlacks: map[identifier.Image]estimator.Slack{}, slack: ampleSlack,
 		}
@@ -383,6 +389,8 @@
 		return obstacleEvacuated
 	case p.now.Before(w.quarantinedUntil):
 		return obstacleQuarantine
+	case p.now.Before(w.vacatedUntil):
+		return obstacleVacated
 	default:
 		return obstacleNone
 	}
@@ -424,11 +432,6 @@
 	}
 }
 
-// owns reports whether a worker belongs to the planner's cell, by the hash of its id.
-func (p *Planner) owns(id identifier.Worker) bool {
-	return p.settings.Cells <= 1 || identifier.CellOf(identifier.Job(id), p.settings.Cells) == p.settings.Cell
-}
-
 // updateWorker applies the directory entry of a worker.
 func (p *Planner) updateWorker(id identifier.Worker, entry connector.WorkerEntry) {
 	w := p.ensureWorker(id)
--- a/internal/sharder/sharder.go
+++ b/internal/sharder/sharder.go
@@ -279,8 +279,8 @@
 	return c.highest > 0 && c.unchanged >= stableCounts || c.taken >= maxCounts
 }
 
-// CellsFor returns the number of cells for the given workers, at least one. A job can only use
-// the workers of its own cell, so that each cell needs workers of each kind.
+// CellsFor returns the number of cells for the given workers, at least one. A job runs on the workers
+// of its own cell and those that others lend it, so that each cell needs workers of each kind.
 func CellsFor(w WorkerCounts) int {
 	return max(min((w.Total+WorkersPerCell-1)/WorkersPerCell, w.SmallestKind/minPerKind, MaxCells), 1)
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -224,7 +224,7 @@
 
 // handle answers the calls of other hosts: store calls that a host relays because it does not
 // reach the store itself, messages of hosts that call workers on behalf of this one, requests for
-// the clock of a cell or for the configuration, and all calls of the intake.
+// the clock of a cell, for the configuration or for idle workers, and all calls of the intake.
 func (s *Supervisor) handle(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
 	if out, ok, err := relayer.Serve(ctx, s.store.Direct(), method, params); ok {
 		return out, err
@@ -235,6 +235,9 @@
 	if method == messenger.MethodCellClock {
 		return s.handleClock(params)
 	}
+	if method == messenger.MethodRequestRoom {
+		return s.handleRoomRequest(params)
+	}
 	if method == messenger.MethodConfig {
 		return s.handleConfig(params)
 	}
@@ -313,6 +316,9 @@
 		dispatcher.WithClockEstimate(func(ctx context.Context, takeover renewer.TakeoverID, began time.Duration) renewer.ClockEstimate {
 			return s.estimateClock(ctx, cell, takeover, began)
 		}),
+		dispatcher.WithRoomRequests(func(ctx context.Context, to identifier.Cell, need planner.RoomNeed) error {
+			return s.requestRoom(ctx, roomRequest{From: cell, To: to, Need: need})
+		}),
 	}
 	if s.adviser != nil {
 		opts = append(opts, dispatcher.WithAdviser(s.adviser))
--- a/pkg/identifier/size.go
+++ b/pkg/identifier/size.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -55,6 +56,21 @@
 	return s.Processors <= capacity.Processors && s.Memory <= capacity.Memory && s.Accelerators <= capacity.Accelerators
 }
 
+// CopiesIn returns how many times s fits into capacity; amounts of zero or less fit any number of
+// times.
+func (s Size) CopiesIn(capacity Size) int {
+	n := int64(math.MaxInt32)
+	limit := func(amount, available int64) {
+		if amount > 0 {
+			n = min(n, max(available, 0)/amount)
+		}
+	}
+	limit(int64(s.Processors), int64(capacity.Processors))
+	limit(int64(s.Memory), int64(capacity.Memory))
+	limit(int64(s.Accelerators), int64(capacity.Accelerators))
+	return int(n)
+}
+
 // IsZero reports whether the amounts of all resources are zero.
 func (s Size) IsZero() bool { return s == Size{} }
 
