Order requests for workers between cells by need

Cause, found by reading: two cells that wait at once each kept their idle workers from the other, for ever if both need more than they have (gangs). And a cell asked again for workers that were granted but had not answered yet.

Change: a request says the priority of its queue and how long its tasks have waited; once it is urgent, tasks of a less urgent queue, or that have waited less, yield. Borrowed workers that have not answered yet count as room. After a request that did not reach the holder, the holders are looked up anew.

TestLendersKeepWhatTheyNeed has the order; TestRoomFollowsNeedBetweenCells now checks that 2 workers are borrowed where 2 are needed.

--- a/internal/dispatcher/lender.go
+++ b/internal/dispatcher/lender.go
@@ -26,7 +26,7 @@
 	defer cancel()
 	err := t.requestRoom(ctx, c.To, c.Need)
 	t.logger.Debug("workers of another cell requested", zap.Int("to", int(c.To)), zap.String("service", string(c.Need.Service)),
-		zap.Int("workers", c.Need.Workers), zap.Bool("urgent", c.Need.Urgent), logger.Err(err))
+		zap.Int("workers", c.Need.Workers), zap.Duration("waitedMs", c.Need.Waited.Std()), logger.Err(err))
 }
 
 // sendGrants adds grants of workers to the inbox of the cell that borrows them, and reports that to the
--- a/internal/planner/lender.go
+++ b/internal/planner/lender.go
@@ -43,13 +43,22 @@
 	Headroom bool            `json:"headroom,omitempty"`
 	// Workers is how many idle workers are needed.
 	Workers int `json:"workers"`
-	// Urgent is set once the tasks have waited for urgentNeedWait.
-	Urgent bool `json:"urgent,omitempty"`
+	// Priority is that of the most urgent queue of the tasks, and Waited how long the first has waited.
+	Priority int                 `json:"priority,omitempty"`
+	Waited   identifier.Duration `json:"waited"`
+}
+
+// urgent reports whether lenders keep no reserve for themselves.
+func (n RoomNeed) urgent() bool { return n.Waited.Std() >= urgentNeedWait }
+
+// precedes reports whether a need comes before another one for the same worker.
+func (n RoomNeed) precedes(o RoomNeed) bool {
+	return cmp.Or(cmp.Compare(n.Priority, o.Priority), cmp.Compare(o.Waited, n.Waited)) < 0
 }
 
 // kind returns the need without its extent.
 func (n RoomNeed) kind() RoomNeed {
-	n.Workers, n.Urgent = 0, false
+	n.Workers, n.Priority, n.Waited = 0, 0, 0
 	return n
 }
 
@@ -125,7 +134,7 @@
 	}
 	if i := slices.IndexFunc(needs, func(o RoomNeed) bool { return o.kind() == n.kind() }); i >= 0 {
 		needs[i].Workers += n.Workers
-		needs[i].Urgent = needs[i].Urgent || n.Urgent
+		needs[i].Priority, needs[i].Waited = min(needs[i].Priority, n.Priority), max(needs[i].Waited, n.Waited)
 		return needs
 	}
 	return append(needs, n)
@@ -137,11 +146,14 @@
 	d := p.demandOf(t, p.patience(g))
 	n := RoomNeed{
 		Service: d.service, Label: g.step.Label, Size: g.step.Size, Headroom: d.kind == loadServing && !d.restart,
-		Urgent: p.now.Sub(t.readyAt) >= urgentNeedWait,
+		Priority: g.job.queue.Priority, Waited: identifier.Duration(p.now.Sub(t.readyAt)),
 	}
 	missing := g.readyTasks
 	for _, w := range p.workerList {
 		switch o := p.placementObstacle(t, w, d); {
+		case w.listed && w.heardAt.IsZero():
+			// It was probably borrowed for these tasks.
+			missing -= p.limitSpread(g, n.tasksOn(w.entry))
 		case o != obstacleNone && o != obstaclePermit:
 		case !g.step.Gang:
 			return RoomNeed{}
@@ -169,13 +181,14 @@
 }
 
 // roomRequested lends idle workers to a cell whose tasks find no room, the smallest that are large
-// enough. Workers that tasks of this cell wait for are kept. If too few are idle, others are vacated.
+// enough. Those that tasks of this cell wait for are lent only for tasks that come before these. If too
+// few are idle, others are vacated.
 func (p *Planner) roomRequested(e RoomRequested) {
 	if e.From == p.settings.Cell || e.From < 0 || int(e.From) >= p.settings.Cells || e.Need.Workers <= 0 || !p.directoryFresh() {
 		return
 	}
 	idle, busy, spare, usable := p.lendable(e.Need)
-	if !e.Need.Urgent {
+	if !e.Need.urgent() {
 		spare -= int(lendingReserve * float64(usable))
 	}
 	wanted := min(e.Need.Workers, maxLentAtOnce)
@@ -186,7 +199,7 @@
 	for _, w := range idle[:n] {
 		p.transfer(w, e.From)
 	}
-	if e.Need.Urgent && p.hasAmpleRoom(e.Need.Service) {
+	if e.Need.urgent() && p.hasAmpleRoom(e.Need.Service) {
 		p.vacate(busy, min(wanted-n, max(int(lendingReserve*float64(usable)), 1)))
 	}
 }
@@ -204,7 +217,7 @@
 			allIdle++
 		}
 		switch {
-		case n.tasksOn(w.entry) == 0, p.needsItself(w):
+		case n.tasksOn(w.entry) == 0, p.needsItself(w, n):
 		case isIdle:
 			idle = append(idle, w)
 		case w.emptiesItself():
@@ -214,9 +227,16 @@
 	return idle, busy, allIdle, usable
 }
 
-// needsItself reports whether tasks of this cell that found no room would fit on a worker.
-func (p *Planner) needsItself(w *worker) bool {
-	return slices.ContainsFunc(p.lending.needs, func(n RoomNeed) bool { return n.tasksOn(w.entry) > 0 })
+// needsItself reports whether tasks of this cell that found no room would fit on a worker, and do not come
+// after those of another cell.
+func (p *Planner) needsItself(w *worker, other RoomNeed) bool {
+	return slices.ContainsFunc(p.lending.needs, func(own RoomNeed) bool {
+		if own.tasksOn(w.entry) == 0 {
+			return false
+		}
+		own.Waited += identifier.Duration(p.now.Sub(p.lending.searchedAt))
+		return !other.urgent() || !other.precedes(own)
+	})
 }
 
 // vacate places no new runs on n workers until they are idle or no longer asked for, those first that
--- a/internal/planner/lender_test.go
+++ b/internal/planner/lender_test.go
@@ -441,6 +441,9 @@
 	b := newLendingBed(2, 4, t.Fatalf)
 	first := b.submit(0, 6)
 	b.awaitRunning(2*lendingBound, 6, 0)
+	if _, borrowed := b.cells[0].p.lentWorkers(); borrowed != 2 {
+		t.Errorf("%d workers borrowed, want 2", borrowed)
+	}
 	b.submit(1, 2)
 	b.awaitRunning(lendingBound, 6, 2)
 	b.cells[0].cancel[first] = true
@@ -604,23 +607,29 @@
 		lent  int
 	}{
 		"a reserve":            {func(*RoomNeed) {}, nil, 9},
-		"none if it is urgent": {func(n *RoomNeed) { n.Urgent = true }, nil, 10},
+		"none if it is urgent": {func(n *RoomNeed) { n.Waited = identifier.Duration(urgentNeedWait) }, nil, 10},
 		"fewer are needed":     {func(n *RoomNeed) { n.Workers = 2 }, nil, 2},
 		"no workers are asked": {func(n *RoomNeed) { n.Workers = -1 }, nil, 0},
 		"another service":      {func(n *RoomNeed) { n.Service = "other" }, nil, 0},
 		"a label":              {func(n *RoomNeed) { n.Label = "fast" }, nil, 0},
 		"too large":            {func(n *RoomNeed) { n.Size.Processors++ }, nil, 0},
 		"headroom":             {func(n *RoomNeed) { n.Headroom = true }, nil, 0},
-		"one runs something":   {func(n *RoomNeed) { n.Urgent = true }, func(_ *lendingBed, w *worker) { w.runs[connector.RunID{}] = &run{} }, 9},
-		"one lists a run":      {func(n *RoomNeed) { n.Urgent = true }, func(_ *lendingBed, w *worker) { w.listsRuns = true }, 9},
-		"an end is not stored": {func(n *RoomNeed) { n.Urgent = true }, func(_ *lendingBed, w *worker) { w.lastEnd++ }, 9},
-		"one drains":           {func(n *RoomNeed) { n.Urgent = true }, func(_ *lendingBed, w *worker) { w.entry.Draining = true }, 9},
-		"one is silent":        {func(n *RoomNeed) { n.Urgent = true }, func(_ *lendingBed, w *worker) { w.missedPolls = 1 }, 9},
-		"one is quarantined": {func(n *RoomNeed) { n.Urgent = true }, func(b *lendingBed, w *worker) {
+		"one runs something":   {func(n *RoomNeed) { n.Waited = identifier.Duration(urgentNeedWait) }, func(_ *lendingBed, w *worker) { w.runs[connector.RunID{}] = &run{} }, 9},
+		"one lists a run":      {func(n *RoomNeed) { n.Waited = identifier.Duration(urgentNeedWait) }, func(_ *lendingBed, w *worker) { w.listsRuns = true }, 9},
+		"an end is not stored": {func(n *RoomNeed) { n.Waited = identifier.Duration(urgentNeedWait) }, func(_ *lendingBed, w *worker) { w.lastEnd++ }, 9},
+		"one drains":           {func(n *RoomNeed) { n.Waited = identifier.Duration(urgentNeedWait) }, func(_ *lendingBed, w *worker) { w.entry.Draining = true }, 9},
+		"one is silent":        {func(n *RoomNeed) { n.Waited = identifier.Duration(urgentNeedWait) }, func(_ *lendingBed, w *worker) { w.missedPolls = 1 }, 9},
+		"one is quarantined": {func(n *RoomNeed) { n.Waited = identifier.Duration(urgentNeedWait) }, func(b *lendingBed, w *worker) {
 			w.quarantinedUntil = b.now.Add(time.Second)
 		}, 9},
-		"an evacuation": {func(n *RoomNeed) { n.Urgent = true }, func(b *lendingBed, w *worker) { b.cells[0].p.directory.Evacuated["a"] = true }, 0},
-		"own tasks wait": {func(n *RoomNeed) { n.Urgent = true }, func(b *lendingBed, _ *worker) {
+		"an evacuation": {func(n *RoomNeed) { n.Waited = identifier.Duration(urgentNeedWait) }, func(b *lendingBed, w *worker) { b.cells[0].p.directory.Evacuated["a"] = true }, 0},
+		"own tasks wait": {func(n *RoomNeed) { n.Waited = identifier.Duration(urgentNeedWait) }, func(b *lendingBed, _ *worker) {
+			b.cells[0].p.lending.needs = []RoomNeed{{Service: service, Size: smallSize, Workers: 1, Waited: identifier.Duration(time.Minute)}}
+		}, 0},
+		"own tasks wait less": {func(n *RoomNeed) { n.Waited = identifier.Duration(urgentNeedWait) }, func(b *lendingBed, _ *worker) {
+			b.cells[0].p.lending.needs = []RoomNeed{{Service: service, Size: smallSize, Workers: 1, Waited: identifier.Duration(time.Second)}}
+		}, 10},
+		"own tasks are more urgent": {func(n *RoomNeed) { n.Waited, n.Priority = identifier.Duration(time.Hour), 1 }, func(b *lendingBed, _ *worker) {
 			b.cells[0].p.lending.needs = []RoomNeed{{Service: service, Size: smallSize, Workers: 1}}
 		}, 0},
 	}
--- a/internal/supervisor/lender.go
+++ b/internal/supervisor/lender.go
@@ -31,7 +31,12 @@
 	if address == "" || address == s.settings.PeerAddress {
 		return errHolderUnknown
 	}
-	return s.rpc.Call(ctx, address, messenger.MethodRequestRoom, in, nil)
+	err := s.rpc.Call(ctx, address, messenger.MethodRequestRoom, in, nil)
+	if err != nil {
+		// The cell may have another holder by now.
+		s.locator.Refresh(ctx)
+	}
+	return err
 }
 
 // notifyRoomRequest passes a request to the term of the cell that it asks, and reports whether this host
