Bound the runs of a job by the size of its record

Change: a task is claimed only while the record has room for its run.

TestRunsFitIntoTheRecordOfTheirJob failed before: 307,406 bytes for 1,408 runs on a worker whose ID has 200, at most 261,120 fit.

--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -30,8 +30,7 @@
 	t.attempt = r.id.Attempt
 	p.leases.Resume(r.worker.id)
 	p.addUnsentClaim(r)
-	t.runs = append(t.runs, r)
-	t.group.job.runCount++
+	p.addRun(r)
 	p.setPhase(t, taskPlaced)
 	p.newClaims = append(p.newClaims, r)
 	p.markDirty(t.group.job)
@@ -76,6 +75,7 @@
 		if other == r {
 			t.runs = append(t.runs[:i], t.runs[i+1:]...)
 			t.group.job.runCount--
+			t.group.job.runBytes -= runBytes(r.worker.id)
 			t.group.job.idleSince = p.now
 			return
 		}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -132,6 +132,8 @@
 	lastBatch  uint64
 	readyTasks int
 	runCount   int
+	// runBytes is what the runs take in the job's record at most.
+	runBytes int
 	// idleSince is since when the job has had no run that began, if it has no run now.
 	idleSince time.Time
 }
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -324,8 +324,7 @@
 		unwanted: true, stopSent: true, pace: fullPace, progressAt: p.now, listedIn: p.counts.polls, incarnation: w.incarnation,
 	}
 	p.reserve(w, r)
-	t.runs = append(t.runs, r)
-	t.group.job.runCount++
+	p.addRun(r)
 	if t.phase == taskReady {
 		p.setPhase(t, taskPlaced)
 	}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -254,7 +254,9 @@
 		}
 		return
 	}
-	p.claim(t, w, t.attempt+1)
+	if t.group.job.hasRecordRoom(w.id, 1) {
+		p.claim(t, w, t.attempt+1)
+	}
 }
 
 // bestWorker returns the worker with the highest score for a task, or nil if none has room. It
@@ -479,7 +481,7 @@
 	for i := range g.tasks {
 		t := &g.tasks[i]
 		w := p.bestWorker(t, d)
-		if w == nil {
+		if w == nil || !g.job.hasRecordRoom(w.id, len(g.tasks)) {
 			for _, r := range runs {
 				p.free(r.worker, r)
 			}
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -99,6 +99,30 @@
 // maxEncodedBytes bounds an encoded record, so that it fits into a record of the store with its key.
 const maxEncodedBytes = connector.MaxRecordBytes - 1<<10
 
+const (
+	// maxTaskBytes bounds what a task takes in an encoded record without its runs and its checkpoint, maxRunBytes what a
+	// run takes beside the ID of its worker, and maxJobBytes the rest of the record.
+	maxTaskBytes = 24
+	maxRunBytes  = 8
+	maxJobBytes  = 4 << 10
+)
+
+// hasRecordRoom reports whether the job's record has room for further runs on a worker. Their number is bounded
+// only where the IDs of workers are long; the other tasks wait until runs have ended.
+func (j *job) hasRecordRoom(id identifier.Worker, runs int) bool {
+	return maxJobBytes+maxTaskBytes*j.openTasks()+j.runBytes+runs*runBytes(id) <= maxEncodedBytes
+}
+
+func runBytes(id identifier.Worker) int { return maxRunBytes + len(id) }
+
+// addRun adds a run to its task.
+func (p *Planner) addRun(r *run) {
+	j := r.task.group.job
+	r.task.runs = append(r.task.runs, r)
+	j.runCount++
+	j.runBytes += runBytes(r.worker.id)
+}
+
 // Encode returns the CBOR encoding of the record. If that is larger than the store accepts, it leaves
 // out what only saves work after a takeover: the checkpoints, and then the lost runs and evictions.
 func (r JobRecord) Encode() ([]byte, error) {
@@ -526,8 +550,7 @@
 	}
 	p.restoreStall(w, r)
 	p.reserve(w, r)
-	t.runs = append(t.runs, r)
-	t.group.job.runCount++
+	p.addRun(r)
 	if t.phase != taskDone {
 		p.setPhase(t, taskPlaced)
 	}
--- a/internal/planner/straggler.go
+++ b/internal/planner/straggler.go
@@ -133,7 +133,7 @@
 	}
 	t.failedOn = r.worker.id
 	w := p.bestWorker(t, p.demandOf(t, p.patience(t.group)))
-	if w == nil || w == r.worker {
+	if w == nil || w == r.worker || !t.group.job.hasRecordRoom(w.id, 1) {
 		return
 	}
 	p.log.RunStraggles(r.id, r.worker.id, r.percent, p.now.Sub(r.confirmedAt))
