--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -91,8 +91,12 @@
 	waitLogged time.Time
 	// blamed are the workers that were blamed for a straggler of the step.
 	blamed map[identifier.Worker]struct{}
-	// failedGangRuns counts the failed runs of all members of a gang.
-	failedGangRuns int
+	// checkedRun is the run of a gang whose claims were all checked before the first start.
+	checkedRun identifier.Attempt
+	// retryGangAt is when a gang for which there was no room is tried again.
+	retryGangAt time.Time
+	// failedRuns are the runs of a gang of which a member has failed.
+	failedRuns map[identifier.Attempt]struct{}
 }
 
 // job is a submitted job with the state of its tasks.
@@ -118,8 +122,9 @@
 	// finished are the occurrences whose tasks are all done, and finishedAt is when that was.
 	finished   occurrenceSet
 	finishedAt map[int]time.Time
-	started    bool
-	state      JobState
+	// started is set once a worker has begun a task of the job.
+	started bool
+	state   JobState
 	// visibleState is the state that callers see: the newest one that is stored.
 	visibleState JobState
 	endedAt      time.Time
@@ -127,7 +132,9 @@
 	lastBatch  uint64
 	readyTasks int
 	runCount   int
-	// idleSince is when the number of the job's runs last dropped to zero.
+	// runBytes is what the runs take in the job's record at most.
+	runBytes int
+	// idleSince is since when the job has had no run that began, if it has no run now.
 	idleSince time.Time
 }
 
--- a/internal/planner/lender_test.go
+++ b/internal/planner/lender_test.go
@@ -141,7 +141,9 @@
 	state.Leases = maps.Clone(c.leases.Leases)
 	c.p = New(c.epoch, b.now, Settings{
 		Cell: identifier.Cell(cell), Cells: len(b.cells), Lease: 5 * time.Second, InheritedLease: 8 * time.Second, MaxDirectoryAge: 2 * time.Second,
-	}, WithLeases(state, func() time.Duration { return b.now.Sub(now) }, 0))
+	}, WithLeases(state, func(at time.Time) renewer.Reading {
+		return renewer.Reading{Now: at, Earliest: at.Sub(now), Latest: at.Sub(now)}
+	}, 0))
 	var titles []TitleRecord
 	for id, t := range c.titles {
 		titles = append(titles, TitleRecord{id, &t})
@@ -649,3 +651,14 @@
 		})
 	}
 }
+
+// TestGangsOfTwoCellsDoNotWaitForEachOther lets two cells need more workers than each has at the same time,
+// for gangs of which only one fits.
+func TestGangsOfTwoCellsDoNotWaitForEachOther(t *testing.T) {
+	b := newLendingBed(2, 4, t.Fatalf)
+	gang := submitter.Step{Count: 6, Size: wholeSize, Gang: true}
+	b.submitSteps(0, gang)
+	b.step(50 * time.Millisecond)
+	b.submitSteps(1, gang)
+	b.awaitRunning(2*lendingBound, 6, 0)
+}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -102,8 +102,8 @@
 	case p.mayRenew(w):
 		until := p.leaseUntil(w)
 		return &until
-	case p.now.Before(p.leases.RenewableUntil(w.id, p.now)):
-		return p.leaseRenewalWithin(w, p.leases.RenewableUntil(w.id, p.now))
+	case p.now.Before(p.leases.RenewableUntil(w.id)):
+		return p.leaseRenewalWithin(w, p.leases.RenewableUntil(w.id))
 	case w.requestedLease > w.clock+connector.WorkerClock(p.now.Sub(w.clockAt)):
 		until := w.requestedLease
 		return &until
@@ -116,7 +116,7 @@
 // has to be over by end; nil if it would not extend it.
 func (p *Planner) leaseRenewalWithin(w *worker, end time.Time) *connector.WorkerClock {
 	elapsed := p.now.Sub(w.clockAt)
-	span := min(elapsed+p.settings.Lease, time.Duration(float64(end.Sub(w.clockAt))*(1-maxClockDrift)))
+	span := leastAdvance(min(elapsed+bySlowClock(p.settings.Lease), end.Sub(w.clockAt)))
 	if span <= elapsed {
 		return nil
 	}
@@ -287,6 +287,7 @@
 	}
 	r.listedIn = p.counts.polls
 	p.recordIncarnation(w, r)
+	p.noteBegun(r.task.group.job)
 	if r.phase == runStarting || r.phase == runUnsure {
 		p.markActive(r)
 	}
@@ -322,13 +323,13 @@
 	if t == nil {
 		return
 	}
+	p.noteBegun(t.group.job)
 	r := &run{
 		id: a.Run, task: t, size: t.group.step.Size, phase: runStopping, confirmedAt: p.now, startedAt: p.now,
 		unwanted: true, stopSent: true, pace: fullPace, progressAt: p.now, listedIn: p.counts.polls, incarnation: w.incarnation,
 	}
 	p.reserve(w, r)
-	t.runs = append(t.runs, r)
-	t.group.job.runCount++
+	p.addRun(r)
 	if t.phase == taskReady {
 		p.setPhase(t, taskPlaced)
 	}
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,9 @@
 	case connector.VerdictOK, connector.VerdictStaleRun:
 		w.recordRenewal(e.Answer, p.now)
 		p.recordGrant(w, r.leaseUntil, e.Answer.Clock)
+		if e.Answer.Verdict == connector.VerdictOK {
+			p.noteBegun(r.task.group.job)
+		}
 		// VerdictStaleRun means that the run has ended already. It counts as active until the next
 		// poll reports how it ended.
 		p.markActive(r)
@@ -104,8 +108,7 @@
 func (p *Planner) discardUnsentStart(r *run) {
 	t := r.task
 	t.failedOn, t.notBefore = r.worker.id, p.now.Add(notSentDelay)
-	p.removeRun(r)
-	p.requeue(t)
+	p.dropUnstarted(r)
 }
 
 // markUnsure leaves it to the next poll of the worker to tell whether a run is there. The poll
@@ -132,8 +135,7 @@
 		p.markUnsure(r)
 		return
 	}
-	p.removeRun(r)
-	p.requeue(r.task)
+	p.dropUnstarted(r)
 }
 
 // startRefused drops a run whose start the worker refused, unless an earlier start of the run may
@@ -152,8 +154,7 @@
 		t.notBefore = p.now.Add(backoff(t.refusals))
 	}
 	t.refusals++
-	p.removeRun(r)
-	p.requeue(t)
+	p.dropUnstarted(r)
 }
 
 // stepDown gives up the cell after a worker has refused the current epoch of its orders, since only
@@ -175,12 +176,35 @@
 	}
 }
 
-// evict stops an active run so that its task can run elsewhere.
-func (p *Planner) evict(r *run) {
-	if r.phase == runActive && !r.unwanted {
+// evict stops an active run so that its task can run elsewhere, unless too many other tasks of its step are
+// unavailable. It reports whether the run is being stopped.
+func (p *Planner) evict(r *run) bool {
+	if r.phase == runActive && !r.unwanted && r.task.mayBecomeUnavailable(r) {
 		r.unwanted = true
 		p.stop(r)
 	}
+	return r.unwanted
+}
+
+// mayBecomeUnavailable reports whether a run of the task may be stopped by the MaxUnavailable of its step. That is
+// always so if the task is unavailable already, or will be as its worker drains.
+func (t *task) mayBecomeUnavailable(r *run) bool {
+	step := t.group.step
+	if !step.LongRunning || step.MaxUnavailable == 0 || !r.inService() || r.worker.entry.Draining {
+		return true
+	}
+	unavailable := 0
+	for i := range t.group.tasks {
+		if other := &t.group.tasks[i]; other != t && !slices.ContainsFunc(other.runs, (*run).inService) {
+			unavailable++
+		}
+	}
+	return unavailable < step.MaxUnavailable
+}
+
+// inService reports whether a run of a long-running task has finished starting and goes on.
+func (r *run) inService() bool {
+	return r.phase == runActive && !r.unwanted && r.percent >= fullProgress
 }
 
 // workerReplaced handles an answer by another worker at this worker's address: this one has exited,
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -43,6 +43,8 @@
 	confirmedAt time.Time
 	// startedAt is when this holder claimed, restored or adopted the run.
 	startedAt time.Time
+	// readyAt is since when the task was ready as the run was claimed.
+	readyAt time.Time
 	// startTries counts the starts sent.
 	startTries int
 	// maybeDelivered is set once a start may have reached the worker.
@@ -195,7 +197,7 @@
 	w, ok := p.workers[id]
 	if !ok {
 		w = &worker{
-			id: id, runs: map[connector.RunID]*run{}, leaseEnd: p.leases.InheritedExpiry(id, p.now), sequence: p.sequenceFloor + 1, base: p.baseOf(id),
+			id: id, runs: map[connector.RunID]*run{}, leaseEnd: p.leases.InheritedExpiry(id), sequence: p.sequenceFloor + 1, base: p.baseOf(id),
 			servingByImage: map[identifier.Image]int{}, scavengersByImage: map[identifier.Image]int{},
 			scavengerShares: estimator.Load{}, baselineSlacks: map[identifier.Image]estimator.Slack{}, slack: ampleSlack,
 		}
@@ -230,10 +232,11 @@
 	return p.reserveLease(w)
 }
 
-// reserveLease moves leaseEnd to the end of a lease that begins now, allowing for a worker clock that
-// runs slow, and returns that end by the worker's clock.
+// reserveLease moves leaseEnd to the end of a lease that begins now and returns that end by the worker's
+// clock. That clock may have run slow since its last reading; it is taken to have done so, since
+// successors wait for a lease from now on, however old the reading is.
 func (p *Planner) reserveLease(w *worker) connector.WorkerClock {
-	until := w.clock + connector.WorkerClock(p.now.Sub(w.clockAt)+p.settings.Lease)
+	until := w.clock + connector.WorkerClock(leastAdvance(p.now.Sub(w.clockAt))+p.settings.Lease)
 	w.leaseEnd = later(w.leaseEnd, w.clockAt.Add(bySlowClock(time.Duration(until-w.clock))))
 	w.requestedLease = max(w.requestedLease, until)
 	return until
@@ -286,7 +289,7 @@
 
 // silenceOf returns for how long a worker has not been heard from, by this holder or earlier ones.
 func (p *Planner) silenceOf(w *worker) renewer.Silence {
-	return p.leases.Silence(w.id, w.heardAt, p.now)
+	return p.leases.Silence(w.id, w.heardAt)
 }
 
 // sinceOrNever returns the time passed since at, or -1 if at is zero.
@@ -383,6 +386,8 @@
 		return obstacleSilent
 	case w.entry.Unreadable:
 		return obstacleUnreadable
+	case w.entryOfOtherIncarnation():
+		return obstacleOutdatedEntry
 	case w.entry.Draining:
 		return obstacleDraining
 	case p.directory.Evacuated[w.entry.DataCentre]:
@@ -396,6 +401,12 @@
 	}
 }
 
+// entryOfOtherIncarnation reports whether the worker has restarted since its entry was written, or since it last
+// answered. It may have come back with another capacity and other labels.
+func (w *worker) entryOfOtherIncarnation() bool {
+	return w.entry.StartedAt != 0 && w.incarnation != 0 && w.entry.StartedAt != w.incarnation
+}
+
 // usable reports whether a worker may get new runs.
 func (p *Planner) usable(w *worker) bool { return p.workerObstacle(w) == obstacleNone }
 
