Test lending between terms over the simulated store

TestTermsLendWorkers: a job needs all workers of two cells, which both change hands at some time after its submission, while the holders before go on for a second.

--- a/internal/dispatcher/lender_test.go
+++ b/internal/dispatcher/lender_test.go
@@ -1,13 +1,21 @@
 package dispatcher
 
 import (
+	"context"
+	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/intake"
 	"github.com/balsamcove/balsamcove/internal/planner"
+	"github.com/balsamcove/balsamcove/internal/simulator"
+	"github.com/balsamcove/balsamcove/internal/sleeper"
+	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
 )
 
 // TestTitlesAreReadAsStored checks the stored owners of workers, also those that other programs wrote.
@@ -78,3 +86,79 @@
 		})
 	}
 }
+
+// lendingTerms are the terms of two cells over one store and fleet.
+type lendingTerms struct {
+	c     *testCell
+	terms [2]*Term
+	ends  [2]func()
+	names int
+}
+
+// takeOver begins a new term of a cell, without telling the one before, which goes on for a while.
+func (l *lendingTerms) takeOver(cell identifier.Cell) {
+	l.names++
+	s := testSettings(fmt.Sprint("host", l.names))
+	s.Planner.Cell, s.Planner.Cells = cell, 2
+	runner, disconnect := l.c.fleet.Client()
+	term := NewTerm(cell, s, l.c.store.Client(s.Member), runner, zap.NewNop(), WithUptime(l.c.uptime),
+		WithRoomRequests(func(_ context.Context, to identifier.Cell, need planner.RoomNeed) error {
+			l.terms[to].Notify(planner.RoomRequested{From: cell, Need: need})
+			return nil
+		}))
+	ctx, cancel := context.WithCancel(l.c.ctx)
+	if end := l.ends[cell]; end != nil {
+		time.AfterFunc(time.Second, end)
+	}
+	l.terms[cell], l.ends[cell] = term, func() { disconnect(); cancel() }
+	go func() { _ = term.Run(ctx, l.c.currentDirectory()) }()
+	go func() {
+		for ctx.Err() == nil {
+			term.Notify(planner.DirectoryChanged{Directory: l.c.currentDirectory()})
+			sleeper.Pause(ctx, 200*time.Millisecond)
+		}
+	}()
+}
+
+// TestTermsLendWorkers lets a job need more workers than its cell has, while both cells change hands at
+// some time. All of its tasks have to run at once.
+func TestTermsLendWorkers(t *testing.T) {
+	for _, after := range []time.Duration{0, 800, 1100, 1200, 1300, 1500, 2000} {
+		t.Run(fmt.Sprint("takeovers after ", after), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTestCell(t, 1)
+				c.store = simulator.NewStore(2, 1)
+				c.fleet = simulator.NewFleet(1, func(connector.RunID) (time.Duration, bool) { return time.Hour, false }, c.taskSize)
+				c.addWorkers(testWorkers)
+				l := &lendingTerms{c: c}
+				l.takeOver(0)
+				l.takeOver(1)
+				time.Sleep(2 * time.Second)
+				job := submitter.Job{ID: jobID(1), Queue: testQueue, Steps: []submitter.Step{{
+					Count: testWorkers, Size: identifier.Size{Processors: 8000, Memory: 16000}, LongRunning: true,
+				}}}
+				c.jobs[job.ID] = job
+				record, err := intake.EncodeSubmission(intake.Submission{Job: job, Queue: testConfig})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := l.terms[0].appendInbox(c.ctx, 0, []connector.KeyedRecord{record}); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(after * time.Millisecond)
+				l.takeOver(0)
+				l.takeOver(1)
+				time.Sleep(20 * time.Second)
+				if s := l.terms[0].Stats(); s.ReadyTasks > 0 || s.Runs != testWorkers || s.BorrowedWorkers == 0 {
+					t.Errorf("%d tasks wait, %d run, %d workers borrowed", s.ReadyTasks, s.Runs, s.BorrowedWorkers)
+				}
+				for _, b := range c.fleet.Breaches() {
+					t.Error(b)
+				}
+				c.stop()
+				time.Sleep(time.Minute)
+				synctest.Wait()
+			})
+		})
+	}
+}
