--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -33,6 +33,8 @@
 	keyJobPrefix    = "j"
 	keyLeasePrefix  = "w"
 	keyHealthPrefix = "h"
+	// keyTitlePrefix begins the keys of the owners of lent workers.
+	keyTitlePrefix = "o"
 	// writerName is the same for all holders, so that the store fences off earlier epochs.
 	writerName = "holder"
 )
@@ -61,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	health, jobs, estimates, events := t.decodeHealth(work), t.decodeJobs(work), t.decodeEstimates(work), t.inboxEvents(inbox)
+	titles, health, jobs, estimates, events := t.decodeTitles(work), t.decodeHealth(work), t.decodeJobs(work), t.decodeEstimates(work), t.inboxEvents(inbox)
 	// All clocks of the takeover derive from this reading. Decoding may take long, and comes before.
 	now := time.Now()
 	epoch := t.writer.Epoch
@@ -70,6 +72,7 @@
 		opts = append(opts, planner.WithLog(t.decisions))
 	}
 	p := planner.New(epoch, now, t.settings.Planner, opts...)
+	p.Inform(now, planner.TitlesRestored{Records: titles})
 	p.Inform(now, append(events, planner.HealthRestored{Records: health}, planner.JobsRestored{Records: jobs},
 		planner.EstimatesRestored{Records: estimates})...)
 	t.mu.Lock()
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -41,6 +41,7 @@
 	MethodTeams         Method = "teams"
 	MethodCellClock     Method = "cellClock"
 	MethodConfig        Method = "config"
+	MethodRequestRoom   Method = "requestRoom"
 )
 
 // The calls of scheduling hosts to a platform that speaks this project's own protocol. The calls of
--- a/internal/planner/explainer.go
+++ b/internal/planner/explainer.go
@@ -36,6 +36,7 @@
 	obstacleSpread        obstacle = "run as many tasks of the step as are allowed"
 	obstacleAdvice        obstacle = "are ruled out by the adviser"
 	obstaclePermit        obstacle = "have no permit of the adviser yet"
+	obstacleVacated       obstacle = "are vacated for another cell"
 )
 
 // Explain returns the state of a job and the reasons why its tasks wait, for the caller; ok is
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -272,7 +272,9 @@
 		p.nearWaits++
 		return
 	}
-	p.claim(t, w, t.attempt+1)
+	if t.group.job.hasRecordRoom(w.id, 1) {
+		p.claim(t, w, t.attempt+1)
+	}
 }
 
 // bestWorker returns the worker with the highest score for a task, or nil if none has room. It
@@ -501,7 +503,7 @@
 	for i := range g.tasks {
 		t := &g.tasks[i]
 		w := p.bestWorker(t, d)
-		if w == nil {
+		if w == nil || !g.job.hasRecordRoom(w.id, len(g.tasks)) {
 			for _, r := range runs {
 				p.free(r.worker, r)
 			}
@@ -526,7 +528,7 @@
 		if d.kind == loadScavenger {
 			room.Processors = w.spareFor(d)
 		}
-		n := copiesWithin(room, g.step.Size)
+		n := g.step.Size.CopiesIn(room)
 		if g.step.MaxPerWorker > 0 {
 			n = min(n, g.step.MaxPerWorker)
 		}
@@ -536,16 +538,3 @@
 	}
 	return false
 }
-
-// copiesWithin returns how many tasks of a size fit into a room.
-func copiesWithin(room, size identifier.Size) int {
-	n := submitter.MaxTasks
-	for _, d := range [][2]int64{
-		{int64(room.Processors), int64(size.Processors)}, {int64(room.Memory), int64(size.Memory)}, {int64(room.Accelerators), int64(size.Accelerators)},
-	} {
-		if d[1] > 0 {
-			n = min(n, int(d[0]/d[1]))
-		}
-	}
-	return max(n, 0)
-}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -33,8 +33,8 @@
 
 // Settings are the planner's share of the workers and the durations it works with.
 type Settings struct {
-	// Cell is the planner's shard out of Cells; each worker belongs to one by the hash of its ID.
-	// If Cells is at most 1, all workers belong to the planner.
+	// Cell is the planner's shard out of Cells; each worker belongs to one by the hash of its ID,
+	// unless it was lent. If Cells is at most 1, all workers belong to the planner.
 	Cell  identifier.Cell
 	Cells int
 	// Lease is the lease that workers are asked for, MaxLease the longest that a worker grants
@@ -132,6 +132,10 @@
 	rackForecasts map[rackDemand]*rackForecast
 	nearWaits     int
 
+	// titles are the owners of lent workers, and lending what this cell needs of others.
+	titles  titles
+	lending lending
+
 	// adviceCalls are the questions to the adviser that are in flight.
 	adviceCalls adviceCalls
 
@@ -210,6 +214,7 @@
 		estimator:     estimator.New(),
 		scratchLoad:   estimator.Load{},
 		healthRecords: newHealthRecords(),
+		titles:        newTitles(),
 		servingImages: map[identifier.Image]int{},
 		colocations:   map[imagePair]int{},
 		servingIndex:  map[identifier.Image]int{},
@@ -276,6 +281,8 @@
 	p.profile.Enter(profiler.PhasePlacement)
 	p.placeTasks()
 	p.logScavengerWait()
+	p.requestRoom()
+	p.sendGrants()
 	p.profile.Enter(profiler.PhaseMaintenance)
 	p.pollWorkers()
 	p.profile.Enter(profiler.PhaseIdle)
@@ -313,7 +320,8 @@
 		p.adviceAnswered(e)
 	case SubmissionsDeleted:
 		p.submissionsDeleted(e)
-	case Ticked:
+	default:
+		p.applyLending(e)
 	}
 }
 
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -99,6 +99,30 @@
 // maxEncodedBytes bounds an encoded record, so that it fits into a record of the store with its key.
 const maxEncodedBytes = connector.MaxRecordBytes - 1<<10
 
+const (
+	// maxTaskBytes bounds what a task takes in an encoded record without its runs and its checkpoint, maxRunBytes what a
+	// run takes beside the ID of its worker, and maxJobBytes the rest of the record.
+	maxTaskBytes = 24
+	maxRunBytes  = 8
+	maxJobBytes  = 4 << 10
+)
+
+// hasRecordRoom reports whether the job's record has room for further runs on a worker. Their number is bounded
+// only where the IDs of workers are long; the other tasks wait until runs have ended.
+func (j *job) hasRecordRoom(id identifier.Worker, runs int) bool {
+	return maxJobBytes+maxTaskBytes*j.openTasks()+j.runBytes+runs*runBytes(id) <= maxEncodedBytes
+}
+
+func runBytes(id identifier.Worker) int { return maxRunBytes + len(id) }
+
+// addRun adds a run to its task.
+func (p *Planner) addRun(r *run) {
+	j := r.task.group.job
+	r.task.runs = append(r.task.runs, r)
+	j.runCount++
+	j.runBytes += runBytes(r.worker.id)
+}
+
 // Encode returns the CBOR encoding of the record. If that is larger than the store accepts, it leaves
 // out what only saves work after a takeover: the checkpoints, and then the lost runs and evictions.
 func (r JobRecord) Encode() ([]byte, error) {
@@ -142,6 +166,9 @@
 	// Healths are the changed health records of workers. Their times refer to Clock.
 	Healths []HealthRecord
 
+	// Titles are the changed owners of workers that were lent.
+	Titles []TitleRecord
+
 	// claims are the runs to start once the batch is stored, and ends the last of the ended runs that
 	// each worker may then forget.
 	claims []*run
@@ -186,7 +213,7 @@
 
 // Dirty reports whether there is something to store.
 func (p *Planner) Dirty() bool {
-	return len(p.dirtyJobs) > 0 || p.round.pending() || len(p.retirements.records) > 0 || len(p.newEnds) > 0 || p.leasesDirty() || len(p.healthRecords.changed) > 0
+	return len(p.dirtyJobs) > 0 || p.round.pending() || len(p.retirements.records) > 0 || len(p.newEnds) > 0 || p.leasesDirty() || len(p.healthRecords.changed) > 0 || len(p.titles.dirty) > 0
 }
 
 // leasesDirty reports whether changed leases have to be stored, or the cell's clock. The clock
@@ -222,7 +249,7 @@
 		p.suspendLease(w)
 	}
 	p.batchNumber++
-	b := Batch{Number: p.batchNumber}
+	b := Batch{Number: p.batchNumber, Titles: p.takeTitles()}
 	p.collectLeases(&b)
 	p.collectHealthRecords(&b)
 	return b
@@ -232,7 +259,7 @@
 // BatchSaved event before it takes another batch.
 func (p *Planner) TakeBatch() Batch {
 	p.batchNumber++
-	b := Batch{Number: p.batchNumber, Retired: p.retirements.takeRecords()}
+	b := Batch{Number: p.batchNumber, Retired: p.retirements.takeRecords(), Titles: p.takeTitles()}
 	p.collectLeases(&b)
 	p.collectHealthRecords(&b)
 	if p.now.Sub(p.estimatesSavedAt) >= estimatesSaveInterval {
@@ -269,6 +296,7 @@
 // acknowledged, and claimed runs are started.
 func (p *Planner) batchSaved(b Batch) {
 	p.leases.MarkStored(b.Number, b.Leases)
+	p.titlesStored(b.Titles)
 	for _, r := range b.Records {
 		if j, ok := p.jobs[r.ID]; ok {
 			j.visibleState = r.State
@@ -526,8 +554,7 @@
 	}
 	p.restoreStall(w, r)
 	p.reserve(w, r)
-	t.runs = append(t.runs, r)
-	t.group.job.runCount++
+	p.addRun(r)
 	if t.phase != taskDone {
 		p.setPhase(t, taskPlaced)
 	}
