Start runs within the grace of the last append; check a gang's claims together

Cause: starts that are not sent while the term is unconfirmed are delayed by 100 ms, and any change of the group's members makes it unconfirmed for one append. Another term can only have begun after the last successful append was sent, so that starts within the renewal grace of it are covered by the wait of its holder.

Claims of a gang are checked together in each pass until its first start is sent, not once, so that a member whose worker drains while the others are held takes them along.

--- a/internal/dispatcher/effect.go
+++ b/internal/dispatcher/effect.go
@@ -178,9 +178,11 @@
 	return allowed
 }
 
-// mayStart reports whether runs may be started. A start begins a lease, so that it needs the same
-// confirmation as a renewal.
-func (t *Term) mayStart() bool { return t.valid() && !t.unconfirmed() }
+// mayStart reports whether runs may be started. A start begins a lease, for which a holder whose term has begun
+// since waits as long as for renewals. That term began after the last successful append was sent.
+func (t *Term) mayStart() bool {
+	return t.valid() && (!t.unconfirmed() || t.uptime()-time.Duration(t.confirmedAt.Load()) <= t.settings.RenewalGrace)
+}
 
 // unconfirmed reports whether another host may have begun a term since the last successful append.
 func (t *Term) unconfirmed() bool { return t.tenure() != t.confirmedTenure.Load() }
--- a/internal/dispatcher/saver.go
+++ b/internal/dispatcher/saver.go
@@ -44,7 +44,7 @@
 	batch := t.planner.TakeBatch()
 	clock := t.planner.CellClock()
 	t.mu.Unlock()
-	tenure := t.tenure()
+	tenure, sent := t.tenure(), t.uptime()
 	// A successful append shows that no other holder has begun a term. If there is nothing else to
 	// store, the clock is stored for that purpose.
 	if batch.Clock == nil && t.unconfirmed() {
@@ -61,12 +61,19 @@
 		}
 	}
 	if len(records) > 0 {
-		t.confirmedTenure.Store(tenure)
+		t.confirm(tenure, sent)
 	}
 	t.Notify(planner.BatchSaved{Batch: batch})
 	return nil
 }
 
+// confirm records a successful append that was sent at an uptime, in a tenure. It shows that no other term had
+// begun by then.
+func (t *Term) confirm(tenure uint64, sent time.Duration) {
+	t.confirmedTenure.Store(tenure)
+	t.confirmedAt.Store(int64(sent))
+}
+
 // splitAppend divides records into parts that the store accepts in one append each. What depends on a
 // batch waits for all of them.
 func splitAppend(records []connector.KeyedRecord) [][]connector.KeyedRecord {
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -137,7 +137,7 @@
 		return nil, renewer.State{}, errors.Wrap(err, "encode holder")
 	}
 	t.writer = connector.WriterID{Name: writerName, Epoch: epoch}
-	tenure = t.tenure()
+	tenure, sent := t.tenure(), t.uptime()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	_, err = t.store.Append(ctx, connector.KeyedAppend{
@@ -147,7 +147,7 @@
 	if err != nil {
 		return nil, renewer.State{}, err
 	}
-	t.confirmedTenure.Store(tenure)
+	t.confirm(tenure, sent)
 	return records, leases, nil
 }
 
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -95,6 +95,8 @@
 	renewalWithheld atomic.Bool
 	// confirmedTenure is the tenure, see WithTenure, at the last successful append of this term.
 	confirmedTenure atomic.Uint64
+	// confirmedAt is the uptime, in nanoseconds, at which the last successful append of this term was sent.
+	confirmedAt atomic.Int64
 	// startClock is the cell's clock at the start of the term; nil before the takeover is stored.
 	startClock atomic.Pointer[cellClock]
 	// attempts are the uptimes at which the attempts to take the cell over began whose append may
--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -85,6 +85,7 @@
 // sendStart sends the start of a run whose claim is stored.
 func (p *Planner) sendStart(r *run) {
 	w := r.worker
+	r.task.group.startedRun = r.id.Attempt
 	r.phase = runStarting
 	r.epoch = p.epochOf(w)
 	if r.incarnation == 0 {
@@ -171,12 +172,13 @@
 }
 
 // reasonToWithdrawAny returns why a claim must not be started any more. Before the first start of a gang
-// it checks all members.
+// it checks all members, once for each pass.
 func (p *Planner) reasonToWithdrawAny(r *run) string {
 	g := r.task.group
-	if !g.step.Gang || g.checkedRun == r.id.Attempt {
+	if !g.step.Gang || g.startedRun == r.id.Attempt || g.checkedAt.Equal(p.now) {
 		return p.reasonToWithdraw(r)
 	}
+	g.checkedAt = p.now
 	for i := range g.tasks {
 		for _, other := range g.tasks[i].runs {
 			if reason := p.reasonToWithdraw(other); other.phase == runClaimed && reason != "" {
@@ -184,7 +186,6 @@
 			}
 		}
 	}
-	g.checkedRun = r.id.Attempt
 	return ""
 }
 
--- a/internal/planner/gang_test.go
+++ b/internal/planner/gang_test.go
@@ -212,6 +212,19 @@
 			s := b.starts()[0]
 			b.update(0, StartAnswered{Worker: s.To.ID, Run: s.Order.Run, Epoch: s.Order.Epoch, Err: errUnsent})
 		}},
+		"gang, one worker drains while the directory is stale": {submitter.Step{Count: 8, Size: identifier.Size{Processors: 9000}, Gang: true}, func(b *testbed) {
+			b.update(50 * time.Millisecond)
+			batch := b.p.TakeBatch()
+			b.now = b.now.Add(3 * time.Second)
+			b.p.Update(b.now, BatchSaved{batch})
+			e := b.dir.Workers["h"]
+			e.Draining = true
+			b.dir.Workers["h"] = e
+			b.update(50 * time.Millisecond)
+			if n := len(b.starts()); n > 0 {
+				b.t.Errorf("%d members started without the others", n)
+			}
+		}},
 		"gang, one worker drains": {submitter.Step{Count: 8, Size: identifier.Size{Processors: 9000}, Gang: true}, func(b *testbed) {
 			b.update(50 * time.Millisecond)
 			e := b.dir.Workers["h"]
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -91,8 +91,10 @@
 	waitLogged time.Time
 	// blamed are the workers that were blamed for a straggler of the step.
 	blamed map[identifier.Worker]struct{}
-	// checkedRun is the run of a gang whose claims were all checked before the first start.
-	checkedRun identifier.Attempt
+	// startedRun is the last run of a gang of which a start was sent, and checkedAt when all claims of its present
+	// run were last checked.
+	startedRun identifier.Attempt
+	checkedAt  time.Time
 	// retryGangAt is when a gang for which there was no room is tried again.
 	retryGangAt time.Time
 	// failedRuns are the runs of a gang of which a member has failed.
