--- a/internal/planner/restore_test.go
+++ b/internal/planner/restore_test.go
@@ -50,6 +50,7 @@
 		{ID: "a", State: StateCompleted, EndedAt: math.MaxInt64},
 		{ID: "zz", State: "odd"},
 		{ID: "a", State: StateRunning, Lost: []LostRecord{{Step: -1}, {Occurrence: 7, Attempts: []identifier.Attempt{1}}, {Index: 9}}},
+		{ID: "a", State: StateRunning, FailedRuns: []FailedRunsRecord{{Step: -1}, {Occurrence: 7, Attempts: []identifier.Attempt{1}}, {Step: 9}, {Attempts: []identifier.Attempt{0, 4}}}},
 	} {
 		data, err := rec.Encode()
 		if err != nil {
