A restarted worker is taken for the smallest kind until its entry is read

Change: until then it gets what the smallest worker of its service has room for, and nothing that needs a label or fills.

--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -191,7 +191,8 @@
 
 // reasonToWithdraw returns why a claim must not be started any more, or "" if it may.
 func (p *Planner) reasonToWithdraw(r *run) string {
-	switch o := p.workerObstacle(r.worker); {
+	o := cmp.Or(p.workerObstacle(r.worker), p.restartObstacle(r.worker, r.task.group.step, r.worker.used))
+	switch {
 	case r.unwanted:
 		return "the run is not wanted any more"
 	case !r.task.group.step.Gang && exceedsQuota(r):
--- a/internal/planner/lender.go
+++ b/internal/planner/lender.go
@@ -259,5 +259,5 @@
 // that another cell may hold it. All ends that it has listed are stored.
 func (p *Planner) idle(w *worker) bool {
 	return len(w.runs) == 0 && !w.listsRuns && !w.unsavedEnds && w.storedEnd == w.lastEnd && w.unreadableEnd == 0 &&
-		w.failures == 0 && p.now.Sub(w.polledAt) <= maxIdleSilence && w.base+p.epoch < MaxBase
+		w.failures == 0 && p.now.Sub(w.polledAt) <= maxIdleSilence && w.base+p.epoch < MaxBase && !w.entryOfOtherIncarnation()
 }
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -317,6 +317,9 @@
 func (p *Planner) taskObstacle(t *task, w *worker, d demand) obstacle {
 	step := t.group.step
 	size := step.Size
+	if o := p.restartObstacle(w, step, w.used.Add(size)); o != obstacleNone {
+		return o
+	}
 	if d.kind == loadScavenger {
 		if w.spareFor(d) < size.Processors {
 			return obstacleSpare
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -96,6 +96,8 @@
 	waiting map[*job]struct{}
 	teams   teams
 	workers map[identifier.Worker]*worker
+	// smallest is the least that any listed worker of a service has of each resource.
+	smallest map[identifier.Service]identifier.Size
 	// workerList has all workers; nextWorker is where the next search for candidates begins.
 	workerList []*worker
 	nextWorker int
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -7,6 +7,7 @@
 	"github.com/balsamcove/balsamcove/internal/estimator"
 	"github.com/balsamcove/balsamcove/internal/renewer"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
 )
 
 // runPhase is the stage of a run in its life cycle, as known to this holder.
@@ -399,8 +400,6 @@
 		return obstacleSilent
 	case w.entry.Unreadable:
 		return obstacleUnreadable
-	case w.entryOfOtherIncarnation():
-		return obstacleOutdatedEntry
 	case w.entry.Draining:
 		return obstacleDraining
 	case p.directory.Evacuated[w.entry.DataCentre]:
@@ -420,6 +419,31 @@
 	return w.entry.StartedAt != 0 && w.incarnation != 0 && w.entry.StartedAt != w.incarnation
 }
 
+// restartObstacle returns what keeps a step from a worker that may have come back as another kind: it gets only
+// what the smallest kind of its service has room for beside size reserved, and nothing that needs a label.
+func (p *Planner) restartObstacle(w *worker, step *submitter.Step, reserved identifier.Size) obstacle {
+	if !w.entryOfOtherIncarnation() {
+		return obstacleNone
+	}
+	if step.Label != "" || step.Scavenger || !reserved.Fits(p.smallest[w.entry.Service]) {
+		return obstacleOutdatedEntry
+	}
+	return obstacleNone
+}
+
+// smallestKinds returns the least that any worker of each service has of each resource.
+func smallestKinds(workers map[identifier.Worker]connector.WorkerEntry) map[identifier.Service]identifier.Size {
+	out := map[identifier.Service]identifier.Size{}
+	for _, e := range workers {
+		least, ok := out[e.Service]
+		if !ok {
+			least = e.Capacity
+		}
+		out[e.Service] = least.Min(e.Capacity)
+	}
+	return out
+}
+
 // usable reports whether a worker may get new runs.
 func (p *Planner) usable(w *worker) bool { return p.workerObstacle(w) == obstacleNone }
 
@@ -434,6 +458,7 @@
 	if d.WorkersReadAt.IsZero() {
 		return
 	}
+	p.smallest = smallestKinds(d.Workers)
 	for id, entry := range d.Workers {
 		if p.owns(id) {
 			p.updateWorker(id, entry)
--- a/pkg/identifier/size.go
+++ b/pkg/identifier/size.go
@@ -56,6 +56,11 @@
 	return Size{max(s.Processors, o.Processors), max(s.Memory, o.Memory), max(s.Accelerators, o.Accelerators)}
 }
 
+// Min returns the smaller amount of each resource in s and o.
+func (s Size) Min(o Size) Size {
+	return Size{min(s.Processors, o.Processors), min(s.Memory, o.Memory), min(s.Accelerators, o.Accelerators)}
+}
+
 // Fits reports whether s does not exceed capacity in any resource.
 func (s Size) Fits(capacity Size) bool {
 	return s.Processors <= capacity.Processors && s.Memory <= capacity.Memory && s.Accelerators <= capacity.Accelerators
