--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -45,8 +45,8 @@
 type SnapshotPolicy struct {
 	// Records is the number of records since the last snapshot after which the next is due.
 	Records identifier.Offset
-	// Age is the time since the last snapshot after which the next is due, if there are records
-	// since. It must be well below the retention time of the log.
+	// Age is how old the last snapshot gets at most if there are records since. It must be well below the
+	// retention time of the log.
 	Age time.Duration
 }
 
--- a/internal/coordinator/effect.go
+++ b/internal/coordinator/effect.go
@@ -184,16 +184,31 @@
 	// snapshotOdds makes a host write a due snapshot at one check in that many, at random, so that
 	// two hosts rarely write one at the same time.
 	snapshotOdds = 4
+	// snapshotLead is how long before a snapshot is too old the next one is due, and lateSnapshotLead how long
+	// before that it is written without regard to other hosts.
+	snapshotLead     = 12 * snapshotCheckInterval
+	lateSnapshotLead = 2 * snapshotCheckInterval
 )
 
+// odds returns in how many checks a host writes a snapshot once; zero if none is due.
+func (p SnapshotPolicy) odds(records identifier.Offset, age time.Duration) int {
+	switch {
+	case records > 0 && age >= p.Age-min(lateSnapshotLead, p.Age/8):
+		return 1
+	case records >= p.Records, records > 0 && age >= p.Age-min(snapshotLead, p.Age/4):
+		return snapshotOdds
+	default:
+		return 0
+	}
+}
+
 // writeSnapshots writes snapshots of the streams that are due, until ctx ends.
 func (c *Coordinator) writeSnapshots(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleep(ctx, snapshotCheckInterval)
 		for _, s := range c.streams() {
 			records, age, known := s.follower.SnapshotAge()
-			due := records >= c.cfg.Snapshot.Records || (records > 0 && age >= c.cfg.Snapshot.Age)
-			if known && due && rand.IntN(snapshotOdds) == 0 {
+			if odds := c.cfg.Snapshot.odds(records, age); known && odds > 0 && rand.IntN(odds) == 0 {
 				c.writeSnapshot(s)
 			}
 		}
