--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -68,7 +68,7 @@
 // cellFields returns the log fields for the jobs, runs and workers of a cell.
 func cellFields(s planner.Stats) []zap.Field {
 	return []zap.Field{
-		zap.Int("jobs", s.Jobs), zap.Int("activeJobs", s.ActiveJobs), zap.Int("readyTasks", s.ReadyTasks),
+		zap.Int("jobs", s.Jobs), zap.Int("activeJobs", s.ActiveJobs), zap.Int("readyTasks", s.ReadyTasks), zap.Int("quotaTasks", s.QuotaTasks),
 		zap.Int("runs", s.Runs), zap.Int("workers", s.Workers), zap.Int("usableWorkers", s.UsableWorkers),
 		zap.Int64("capacity", int64(s.Capacity)), zap.Int64("reserved", int64(s.Reserved)),
 		zap.Int64("serving", int64(s.Serving)), zap.Int64("scavenging", int64(s.Scavenging)),
--- a/internal/planner/query.go
+++ b/internal/planner/query.go
@@ -35,9 +35,11 @@
 
 // Stats is a snapshot of the planner's state for metrics.
 type Stats struct {
-	Jobs          int
-	ActiveJobs    int
-	ReadyTasks    int
+	Jobs       int
+	ActiveJobs int
+	ReadyTasks int
+	// QuotaTasks are the ready tasks that wait for the limit of their team.
+	QuotaTasks    int
 	Runs          int
 	Workers       int
 	UsableWorkers int
@@ -78,6 +80,7 @@
 	}
 	for j := range p.waiting {
 		s.OldestReady = max(s.OldestReady, p.now.Sub(j.readySince()))
+		s.QuotaTasks += p.quotaTasks(j)
 	}
 	for _, j := range p.jobs {
 		if !j.state.Ended() {
