--- a/internal/planner/query.go
+++ b/internal/planner/query.go
@@ -39,7 +39,9 @@
 	ActiveJobs int
 	ReadyTasks int
 	// NearWaits are the ready tasks that wait for the rack of their data although others have room.
-	NearWaits     int
+	NearWaits int
+	// QuotaTasks are the ready tasks that wait for the limit of their team.
+	QuotaTasks    int
 	Runs          int
 	Workers       int
 	UsableWorkers int
@@ -84,6 +86,7 @@
 	s.LentWorkers, s.BorrowedWorkers = p.lentWorkers()
 	for j := range p.waiting {
 		s.OldestReady = max(s.OldestReady, p.now.Sub(j.readySince()))
+		s.QuotaTasks += p.quotaTasks(j)
 	}
 	for _, j := range p.jobs {
 		if !j.state.Ended() {
