--- a/internal/dispatcher/load.go
+++ b/internal/dispatcher/load.go
@@ -62,7 +62,7 @@
 	for ctx.Err() == nil {
 		sleeper.Pause(ctx, statsPeriod)
 		now, spentNow := t.Stats(), t.stats.profile.Spent()
-		t.logger.Info("cell", cellFields(now)...)
+		t.logger.Info("cell", append(cellFields(now), zap.Any("backlog", t.Outlook().Services))...)
 		fields := append(loadFields(before, now), t.stats.fields()...)
 		usage := cpu.Read()
 		fields = append(fields, zap.Float64("busy", usage.Busy), zap.Float64("collecting", usage.GC))
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -363,7 +363,13 @@
 
 // Outlook returns what other hosts are told about the cell.
 func (t *Term) Outlook() admitter.Outlook {
-	return admitter.Outlook{StoreDelay: t.stats.storeDelay(time.Now())}
+	o := admitter.Outlook{StoreDelay: t.stats.storeDelay(time.Now())}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.planner != nil {
+		o.Services = t.planner.Backlog()
+	}
+	return o
 }
 
 // catchUpInbox reads and applies the records that were added to the inbox since the last read.
--- a/internal/intake/courier.go
+++ b/internal/intake/courier.go
@@ -209,12 +209,18 @@
 	if int(cell) >= len(s.couriers) {
 		return
 	}
+	s.admitter.Observe(cell, o, time.Now())
 	s.couriers[cell].heard()
 	if o.StoreDelay >= slowAppend {
 		s.couriers[cell].markSlow()
 	}
 }
 
+// ObserveOwnOutlook takes note of the outlook of a cell that this host holds.
+func (s *Service) ObserveOwnOutlook(cell identifier.Cell, o admitter.Outlook) {
+	s.admitter.Observe(cell, o, time.Now())
+}
+
 // Isolated reports whether this host is cut off: neither the store answers it, nor the holder of a cell
 // that it was in touch with. Callers are served better by other hosts. An outage of the store alone
 // isolates no host.
--- a/internal/intake/courier_test.go
+++ b/internal/intake/courier_test.go
@@ -19,6 +19,7 @@
 	"github.com/balsamcove/balsamcove/internal/simulator"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 	"github.com/balsamcove/balsamcove/pkg/refuser"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
 )
 
 // serveHolder starts a host that holds cell 0 and answers the appends of other hosts after delay.
@@ -190,3 +191,47 @@
 		})
 	}
 }
+
+// TestRefusedJobsAreNotStored checks that a job without a chance to be in time is refused and not stored,
+// and that one which an earlier request has stored is not refused.
+func TestRefusedJobsAreNotStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := simulator.NewStore(1, 1)
+		s := newService(t, store.Client("front"))
+		known := knownJobs{job(1).ID: true}
+		s.localHolder = func(identifier.Cell) (Holder, bool) { return known, true }
+		s.ObserveOwnOutlook(0, admitter.Outlook{Services: []admitter.Service{{Name: "reports", Work: map[int]admitter.CoreTime{0: 1 << 50}}}})
+		for n, want := range map[int]refuser.Code{1: "", 2: refuser.CodeOverloaded} {
+			err := s.Submit(t.Context(), Submission{Job: job(n), Queue: connector.QueueConfig{Service: "reports", Allowance: identifier.Duration(time.Second)}})
+			var r *refuser.Refusal
+			if errors.As(err, &r) != (want != "") || r != nil && (r.Code != want || r.Effect != refuser.NotRun || r.RetryAfterMillis == 0) {
+				t.Errorf("job %d: %v, want code %q", n, err, want)
+			}
+		}
+		page, err := store.Client("check").Newest(t.Context(), TopicInbox, 0, "")
+		if err != nil || len(page.Records) != 1 {
+			t.Errorf("%d records stored (%v), want that of the known job", len(page.Records), err)
+		}
+	})
+}
+
+// knownJobs is a holder that knows some jobs.
+type knownJobs map[identifier.Job]bool
+
+func (k knownJobs) State(_ context.Context, id identifier.Job) (state string, known bool, err error) {
+	return "queued", k[id], nil
+}
+
+func (knownJobs) Waiting(identifier.Queue) (int, error) { return 0, nil }
+
+func (knownJobs) Report(context.Context, identifier.Job) (r submitter.Report, known bool, err error) {
+	return r, false, nil
+}
+
+func (knownJobs) Explain(context.Context, identifier.Job) (e submitter.Explanation, known bool, err error) {
+	return e, false, nil
+}
+
+func (knownJobs) List(submitter.Selection) (submitter.Reports, error) {
+	return submitter.Reports{}, nil
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/balsamcove/balsamcove/internal/admitter"
 	"github.com/balsamcove/balsamcove/internal/breaker"
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/internal/elector"
@@ -28,6 +29,8 @@
 	holderRetryDelay = 80 * time.Millisecond
 	// queryTimeout bounds a query to a holder, including retries, for callers without a deadline.
 	queryTimeout = 2 * time.Second
+	// knownTimeout bounds the query whether a job that is not admitted is known.
+	knownTimeout = 300 * time.Millisecond
 	// storeRetryAfter is the delay after which callers should retry while the store refuses
 	// this host or no holder answers. Outages last seconds.
 	storeRetryAfter = time.Second
@@ -51,6 +54,7 @@
 	cells       int
 	couriers    []*courier
 	breaker     *breaker.Breaker
+	admitter    admitter.Admitter
 	localHolder func(identifier.Cell) (Holder, bool)
 	logger      *zap.Logger
 }
@@ -85,7 +89,21 @@
 	if n := connector.RecordBytes(record); n > connector.MaxRecordBytes {
 		return refuser.New(refuser.CodeTooLarge, "the job takes %d bytes, at most %d are stored", n, connector.MaxRecordBytes)
 	}
-	return s.storeRecord(ctx, identifier.CellOf(in.Job.ID, s.cells), record, in.Job.ID)
+	cell := identifier.CellOf(in.Job.ID, s.cells)
+	if wait, admitted := s.admitter.Judge(cell, &in.Job, in.Queue, time.Now()); !admitted && s.isNew(ctx, in.Job.ID) {
+		s.logger.Info("job not admitted", zap.String("request", string(in.Job.ID)), zap.String("queue", string(in.Job.Queue)), zap.Duration("retryAfter", wait))
+		return refuser.New(refuser.CodeOverloaded, "the work ahead of the job leaves it no time").WithRetryAfter(wait)
+	}
+	return s.storeRecord(ctx, cell, record, in.Job.ID)
+}
+
+// isNew reports whether the holder of a job's cell says that it does not know the job. One that was
+// stored by an earlier request must not be refused as not run.
+func (s *Service) isNew(ctx context.Context, id identifier.Job) bool {
+	ctx, cancel := context.WithTimeout(ctx, knownTimeout)
+	defer cancel()
+	_, known, err := s.State(ctx, id)
+	return err == nil && !known
 }
 
 // Cancel stores the cancellation of a job. The error is as with Submit.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -113,6 +113,8 @@
 	placementCache placementCache
 	// contention tells, by service, which kinds of jobs have scavengers waiting in this pass.
 	contention map[identifier.Service]contention
+	// backlog is what Backlog returned last.
+	backlog backlog
 	// shortages are the sizes of tasks that run to completion for which there was no room.
 	shortages shortages
 
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/balsamcove/balsamcove/internal/admitter"
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 	"github.com/balsamcove/balsamcove/pkg/submitter"
@@ -503,7 +504,7 @@
 	def := submitter.Job{Steps: []submitter.Step{
 		{Estimate: 100}, {Estimate: 500}, {Estimate: 50, After: []int{0, 1}}, {Estimate: 400, After: []int{0}},
 	}}
-	if got := criticalPath(&def); got != 550 {
+	if got := admitter.CriticalPath(&def); got != 550 {
 		t.Fatalf("critical path %d, want 550", got)
 	}
 }
--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/balsamcove/balsamcove/internal/admitter"
 	"github.com/balsamcove/balsamcove/pkg/submitter"
 )
 
@@ -25,20 +26,6 @@
 	maxPatience = 4 * time.Second
 )
 
-// criticalPath returns the estimated duration of a job's longest chain of dependent steps.
-func criticalPath(def *submitter.Job) time.Duration {
-	ends := make([]time.Duration, len(def.Steps))
-	longest := time.Duration(0)
-	for i, s := range def.Steps {
-		for _, a := range s.After {
-			ends[i] = max(ends[i], ends[a])
-		}
-		ends[i] += s.Estimate.Std()
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // objectiveOf returns the time by which a job should be completed if its caller waits from the
 // given time.
 func objectiveOf(j *job, from time.Time) time.Time {
@@ -46,7 +33,7 @@
 	if stretch <= 0 {
 		stretch = 1
 	}
-	return from.Add(time.Duration(float64(criticalPath(&j.def))*stretch) + j.queue.Allowance.Std())
+	return from.Add(time.Duration(float64(admitter.CriticalPath(&j.def))*stretch) + j.queue.Allowance.Std())
 }
 
 // setWaitStart sets when the caller of a job began to wait for it, and so its objective.
--- a/internal/planner/shortage_test.go
+++ b/internal/planner/shortage_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/balsamcove/balsamcove/internal/admitter"
 	"github.com/balsamcove/balsamcove/internal/connector"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 	"github.com/balsamcove/balsamcove/pkg/submitter"
@@ -316,7 +317,7 @@
 	}
 	slices.SortFunc(jobs, func(a, b *fleetJob) int { return cmp.Compare(b.work, a.work) })
 	for i, j := range jobs {
-		objective := time.Duration(q.Stretch*float64(criticalPath(&j.def))) + q.Allowance.Std()
+		objective := time.Duration(q.Stretch*float64(admitter.CriticalPath(&j.def))) + q.Allowance.Std()
 		v.all.add(j, objective)
 		switch {
 		case i < len(jobs)/10:
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -205,6 +205,7 @@
 	out := make(map[identifier.Cell]admitter.Outlook, len(s.terms))
 	for cell, t := range s.terms {
 		out[cell] = t.term.Outlook()
+		s.intake.ObserveOwnOutlook(cell, out[cell])
 	}
 	return out
 }
