--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -33,8 +33,9 @@
 type Breaker struct {
 	probe      func(context.Context) error
 	dependency logger.Dependency
-	// suspicions has an element if the dependency is to be probed.
-	suspicions chan struct{}
+	// suspicions has an element if the dependency is to be probed. ended is closed once Run has ended,
+	// after which nothing is probed.
+	suspicions, ended chan struct{}
 
 	mu sync.Mutex
 	// suspectedAt is when the suspicion began that opened the breaker.
@@ -48,7 +49,7 @@
 // New returns a closed breaker. Probe makes a cheap call to the dependency, and name identifies it in
 // the log.
 func New(name string, probe func(context.Context) error, l *zap.Logger) *Breaker {
-	b := &Breaker{probe: probe, dependency: logger.Dependency{Name: name, Logger: l}, suspicions: make(chan struct{}, 1), probed: make(chan struct{}), opened: make(chan struct{}), closed: make(chan struct{})}
+	b := &Breaker{probe: probe, dependency: logger.Dependency{Name: name, Logger: l}, suspicions: make(chan struct{}, 1), ended: make(chan struct{}), probed: make(chan struct{}), opened: make(chan struct{}), closed: make(chan struct{})}
 	close(b.closed)
 	return b
 }
@@ -62,7 +63,8 @@
 	}
 }
 
-// Confirm probes the dependency and reports whether it answers; false if ctx ends before.
+// Confirm probes the dependency and reports whether it answers; false if ctx ends before. Once Run has
+// ended, it reports what was known last.
 func (b *Breaker) Confirm(ctx context.Context) bool {
 	b.mu.Lock()
 	probed := b.probed
@@ -70,15 +72,18 @@
 	b.Suspect()
 	select {
 	case <-probed:
-		_, open := b.RetryAfter()
-		return !open
+	case <-b.ended:
 	case <-ctx.Done():
 		return false
 	}
+	_, open := b.RetryAfter()
+	return !open
 }
 
-// Run probes the dependency after each suspicion, until it answers. It returns nil when ctx ends.
+// Run probes the dependency after each suspicion, until it answers. It returns nil when ctx ends, and must
+// be called once.
 func (b *Breaker) Run(ctx context.Context) error {
+	defer close(b.ended)
 	for ctx.Err() == nil {
 		select {
 		case <-b.suspicions:
--- a/internal/intake/courier_test.go
+++ b/internal/intake/courier_test.go
@@ -232,6 +232,12 @@
 	return e, false, nil
 }
 
+func (knownJobs) Teams() ([]submitter.TeamUsage, error) { return nil, nil }
+
+func (knownJobs) Preview(submitter.Job, connector.QueueConfig) (submitter.Preview, error) {
+	return submitter.Preview{}, nil
+}
+
 func (knownJobs) List(submitter.Selection) (submitter.Reports, error) {
 	return submitter.Reports{}, nil
 }
