Refused calls of other hosts are refused slowly

Ruled out: buffers alone.

Change: after a refusal for memory, nothing more is read from the connection for 200 ms.

--- a/internal/messenger/guest.go
+++ b/internal/messenger/guest.go
@@ -22,6 +22,9 @@
 	// connectionCallShare is the part of the server's memory that the calls of one connection may
 	// take.
 	connectionCallShare = 4
+	// refusalDelay is how long nothing more is read from a connection after a call for which there
+	// is no memory, so that refusals alone do not take all of the processor.
+	refusalDelay = 200 * time.Millisecond
 	// callBytes is what a call takes beside its parameters, and valueBytes what each element of
 	// the parameters takes decoded.
 	callBytes  = 16 << 10
@@ -41,8 +44,8 @@
 	net.Conn
 	door *limiter.Door
 	slot *limiter.Slot
-	// proven is set once a whole message has come, after which the connection is not evicted.
-	proven bool
+	// proven is set once a whole message has come, enlarged once a batch has.
+	proven, enlarged bool
 
 	callsInFlight chan struct{}
 
@@ -69,6 +72,14 @@
 	return &guest{Conn: raw, door: door, slot: slot, frame: door.NewCharge(), callsInFlight: make(chan struct{}, calls)}, true
 }
 
+// prove says that a whole message has come, after which the connection is not evicted.
+func (g *guest) prove() {
+	if !g.proven {
+		g.proven = true
+		g.slot.Begin()
+	}
+}
+
 // endFrame says that the message that was being read is there.
 func (g *guest) endFrame() {
 	g.inFrame = false
@@ -147,6 +158,10 @@
 			g.door.TurnAway(limiter.TurnedMemory)
 			refuse.Handle(ctx, conn, req)
 			<-g.callsInFlight
+			select {
+			case <-time.After(refusalDelay):
+			case <-conn.DisconnectNotify():
+			}
 			return
 		}
 		go func() {
--- a/internal/messenger/stream.go
+++ b/internal/messenger/stream.go
@@ -23,9 +23,9 @@
 	// the size of a full batch of answers.
 	maxFrameBytes = 16 << 20
 	// streamBufferBytes is the size of the read and of the write buffer of a connection, and
-	// unprovenBufferBytes before a message has come over an accepted one.
-	streamBufferBytes   = 32 << 10
-	unprovenBufferBytes = 4 << 10
+	// guestBufferBytes before a batch has come over an accepted one.
+	streamBufferBytes = 32 << 10
+	guestBufferBytes  = 4 << 10
 	// initialAllocBytes bounds the memory that is allocated for a message before its content
 	// arrives.
 	initialAllocBytes = 64 << 10
@@ -96,7 +96,7 @@
 func newPeer(ctx context.Context, raw net.Conn, g *guest, calls Handler, batchHandler BatchHandler) Peer {
 	bufferBytes, limitCalls := streamBufferBytes, jsonrpc2.AsyncHandler
 	if g != nil {
-		raw, bufferBytes, limitCalls = g, unprovenBufferBytes, g.limitCalls
+		raw, bufferBytes, limitCalls = g, guestBufferBytes, g.limitCalls
 	}
 	s := &stream{
 		raw: raw, guest: g, batchHandler: batchHandler, ready: make(chan struct{}),
@@ -110,10 +110,9 @@
 	return Peer{s.conn, s}
 }
 
-// prove enlarges the buffers of an accepted connection once a message has come over it.
-func (s *stream) prove() {
-	s.guest.proven = true
-	s.guest.slot.Begin()
+// enlargeBuffers gives an accepted connection the buffers for batches.
+func (s *stream) enlargeBuffers() {
+	s.guest.enlarged = true
 	s.reader = bufio.NewReaderSize(s.reader, streamBufferBytes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -216,8 +215,11 @@
 	if content, err = s.readContent(f.length); err != nil {
 		return "", nil, errors.Wrap(err, "read message")
 	}
-	if s.guest != nil && !s.guest.proven {
-		s.prove()
+	if s.guest != nil {
+		s.guest.prove()
+		if f.method != "" && !s.guest.enlarged {
+			s.enlargeBuffers()
+		}
 	}
 	if f.uncompressed >= 0 {
 		if !s.guest.grow(f.uncompressed) {
