A message that does not end gives its memory back

Cause: a message from an accepted connection kept its charge when the reading of it failed, so that each such connection took a part of the budget for good. Found in reading; the test, which now waits until nothing is in use, hangs without the change ("declared too much").

--- a/internal/messenger/guest_test.go
+++ b/internal/messenger/guest_test.go
@@ -49,8 +49,8 @@
 	return frame(fmt.Sprintf(`{"jsonrpc":"2.0","id":1,"method":%q,"params":%s}`, method, params))
 }
 
-// TestMessagesBeyondTheBudget checks which messages close a connection or are refused, and that the
-// server answers an ordinary call afterwards.
+// TestMessagesBeyondTheBudget checks which messages close a connection, that the server answers an
+// ordinary call afterwards, and that it gets all memory back.
 func TestMessagesBeyondTheBudget(t *testing.T) {
 	small := limiter.HostSize{Memory: 8 << 20, Descriptors: 64}
 	for name, tc := range map[string]struct {
@@ -59,6 +59,7 @@
 		"ordinary":          {call("a", `"b"`), `"result":"answer"`},
 		"declared too much": {"Content-Length: 16000000\r\n\r\n" + strings.Repeat("x", 1<<20), ""},
 		"too long":          {call("a", `"`+strings.Repeat("x", 1<<20)+`"`), ""},
+		"no JSON":           {frame("{"), ""},
 		"many elements":     {call("a", "["+strings.Repeat("1,", 50_000)+"1]"), ""},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -83,10 +84,14 @@
 			if !strings.Contains(got, tc.answer) || (got == "") != (tc.answer == "") {
 				t.Errorf("answer %q, want %q", got, tc.answer)
 			}
-			if turned := budget.TurnedAway()[limiter.DoorPeers][limiter.TurnedMemory]; (turned > 0) == (name == "ordinary") {
+			if turned := budget.TurnedAway()[limiter.DoorPeers][limiter.TurnedMemory]; (turned > 0) == (name == "ordinary" || name == "no JSON") {
 				t.Errorf("%d clients turned away", turned)
 			}
 			checkOrdinaryCall(t, address)
+			_ = conn.Close()
+			for budget.InUse()[limiter.DoorPeers] != (limiter.Use{}) {
+				time.Sleep(10 * time.Millisecond)
+			}
 		})
 	}
 }
--- a/internal/messenger/stream.go
+++ b/internal/messenger/stream.go
@@ -165,7 +165,14 @@
 
 // ReadObject implements jsonrpc2.ObjectStream. Batches that arrive before the next JSON-RPC message
 // are passed to the batch handler.
-func (s *stream) ReadObject(v any) error {
+func (s *stream) ReadObject(v any) (err error) {
+	if s.guest != nil {
+		defer func() {
+			if err != nil {
+				s.guest.frame.Release()
+			}
+		}()
+	}
 	for {
 		method, content, err := s.readFrame()
 		if err != nil {
