What is read ahead of the next request stays charged

A connection that had sent more than 1 KB of its next request kept its buffer of up to 16 KB without a charge while it waited. Found in reading.

--- a/internal/listener/transport.go
+++ b/internal/listener/transport.go
@@ -125,21 +125,30 @@
 			return
 		}
 		c.charge.Release()
-		c.reset()
+		if !c.reset() {
+			t.turnAway(c, errNoMemory)
+			return
+		}
 		slot.Wait()
 	}
 }
 
-// reset gives up the buffers of a large request. What has been read of the next one stays.
-func (c *conn) reset() {
+// reset gives up the buffers of a large request. What has been read of the next one stays; reset
+// returns false if there is no memory for that.
+func (c *conn) reset() bool {
 	if cap(c.out) > firstBufferBytes {
 		c.out = nil
 	}
-	if cap(c.in) > firstBufferBytes && c.Len() <= firstBufferBytes {
-		in := make([]byte, c.Len(), firstBufferBytes)
-		copy(in, c.in[c.off:])
-		c.in, c.off = in, 0
+	if cap(c.in) <= firstBufferBytes {
+		return true
+	}
+	if c.Len() > firstBufferBytes {
+		return c.charge.Grow(limiter.Bytes(cap(c.in)))
 	}
+	in := make([]byte, c.Len(), firstBufferBytes)
+	copy(in, c.in[c.off:])
+	c.in, c.off = in, 0
+	return true
 }
 
 func (t *transport) isStopping() bool {
