Submissions: no caller is held beyond its time by a holder that does not answer

Cause: after this host's own append had failed, the answer of the holder was awaited for up to 2.2 s, also beyond the caller's time; and a host that holds the cell counted as cut off from it while the store was silent. TestNoCallerIsHeldBeyondItsTime.

--- a/internal/intake/courier.go
+++ b/internal/intake/courier.go
@@ -52,7 +52,8 @@
 	// slowUntil is until when the store counts as slow, and distrustedUntil until when the holder counts
 	// as not answering.
 	slowUntil, distrustedUntil time.Time
-	// heardAt is when a holder of the cell, on another host, last answered a heartbeat.
+	// heardAt is when the holder of the cell last answered a heartbeat of this host or, if it is this
+	// host, one of another host.
 	heardAt time.Time
 }
 
@@ -95,6 +96,8 @@
 	here := make(chan error, 1)
 	go func() { here <- c.appendConfirmed(ctx, r) }()
 	holderErr, hereErr := errUnanswered, error(nil)
+	// hereDone is nil until the append from this host has ended, which it does soon after ctx.
+	var hereDone <-chan struct{}
 	for ended := 0; ended < 2; ended++ {
 		select {
 		case holderErr = <-atHolder:
@@ -102,9 +105,12 @@
 				return nil
 			}
 		case hereErr = <-here:
-			if hereErr == nil || ctx.Err() != nil {
-				return markIfUnknown(hereErr, errors.Is(holderErr, connector.ErrUnknown))
+			if hereErr == nil {
+				return nil
 			}
+			hereDone = ctx.Done()
+		case <-hereDone:
+			return markIfUnknown(hereErr, errors.Is(holderErr, connector.ErrUnknown))
 		}
 	}
 	return markIfUnknown(hereErr, errors.Is(holderErr, connector.ErrUnknown))
@@ -190,14 +196,14 @@
 	c.slowUntil = time.Now().Add(slowPeriod)
 }
 
-// heard records that a holder of the cell has answered a heartbeat.
+// heard records that the holder of the cell is in touch with this host.
 func (c *courier) heard() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.heardAt = time.Now()
 }
 
-// lost reports whether a holder of the cell has been heard from, but not for lostAfter.
+// lost reports whether the holder of the cell was in touch with this host, but has not been for lostAfter.
 func (c *courier) lost() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -216,9 +222,13 @@
 	}
 }
 
-// ObserveOwnOutlook takes note of the outlook of a cell that this host holds.
+// ObserveOwnOutlook takes note of the outlook of a cell that this host holds, when another host has asked
+// for it.
 func (s *Service) ObserveOwnOutlook(cell identifier.Cell, o admitter.Outlook) {
 	s.admitter.Observe(cell, o, time.Now())
+	if int(cell) < len(s.couriers) {
+		s.couriers[cell].heard()
+	}
 }
 
 // Isolated reports whether this host is cut off: neither the store answers it, nor the holder of a cell
--- a/internal/intake/courier_test.go
+++ b/internal/intake/courier_test.go
@@ -101,6 +101,28 @@
 	}
 }
 
+// TestNoCallerIsHeldBeyondItsTime checks that a submission ends with its caller's time if neither the store
+// nor the holder answers.
+func TestNoCallerIsHeldBeyondItsTime(t *testing.T) {
+	store := simulator.NewStore(1, 1)
+	s := newService(t, store.Client("front"))
+	s.locator.holders[0] = serveHolder(t, store.Client("holder"), 3*time.Second)
+	store.SetFaults(simulator.StoreFaults{Down: true})
+	for _, limit := range []time.Duration{300 * time.Millisecond, 700 * time.Millisecond} {
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		began := time.Now()
+		err := s.Submit(ctx, Submission{Job: job(1)})
+		cancel()
+		var r *refuser.Refusal
+		if !errors.As(err, &r) || r.Effect != refuser.Unknown {
+			t.Errorf("error %v, want a refusal of unknown effect: the holder may store the job", err)
+		}
+		if took := time.Since(began); took > limit+200*time.Millisecond {
+			t.Errorf("held for %v, the caller's time is %v", took, limit)
+		}
+	}
+}
+
 // TestSilentStoreIsRefusedAtOnce plays submissions while the store answers nobody: once that is known,
 // none is held or sent; those refused as not run are never stored; and submissions are accepted soon
 // after the store is back.
