Submissions: those under way when a host stops are stored

Cause: the breaker's probes end before the last requests of a process that stops; a submission whose call of the holder then failed waited for a probe until its time was over.

--- a/internal/intake/courier_test.go
+++ b/internal/intake/courier_test.go
@@ -101,6 +101,24 @@
 	}
 }
 
+// TestSubmissionsAreStoredWhileTheHostStops checks that a submission which is under way, or comes, when the
+// parts of a host have ended is stored without delay although the holder cannot be called any more.
+func TestSubmissionsAreStoredWhileTheHostStops(t *testing.T) {
+	store := simulator.NewStore(1, 1)
+	s := newIdleService(store.Client("front"))
+	running, stop := context.WithCancel(t.Context())
+	stop()
+	_ = s.Run(running)
+	s.rpc.Close()
+	s.locator.holders[0] = "127.0.0.1:1"
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	began := time.Now()
+	if err := s.Submit(ctx, Submission{Job: job(1)}); err != nil || time.Since(began) > 200*time.Millisecond {
+		t.Errorf("error %v after %v, want none at once", err, time.Since(began))
+	}
+}
+
 // TestNoCallerIsHeldBeyondItsTime checks that a submission ends with its caller's time if neither the store
 // nor the holder answers.
 func TestNoCallerIsHeldBeyondItsTime(t *testing.T) {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -24,14 +24,19 @@
 	return submitter.Job{ID: identifier.Job(fmt.Sprintf("%016x", n)), Queue: "plans", Steps: []submitter.Step{{Count: 1}}}
 }
 
+// newService returns a service that runs until the test ends.
 func newService(t *testing.T, store connector.Store) *Service {
-	rpc := messenger.NewClient()
-	locator := NewLocator(store, "self", 1, zap.NewNop())
-	s := New(store, rpc, locator, 1, func(identifier.Cell) (Holder, bool) { return nil, false }, zap.NewNop())
+	s := newIdleService(store)
 	go func() { _ = s.Run(t.Context()) }()
 	return s
 }
 
+// newIdleService returns a service whose Run has not been called.
+func newIdleService(store connector.Store) *Service {
+	locator := NewLocator(store, "self", 1, zap.NewNop())
+	return New(store, messenger.NewClient(), locator, 1, func(identifier.Cell) (Holder, bool) { return nil, false }, zap.NewNop())
+}
+
 // TestConcurrentSubmissionsShareAppends checks that submissions that arrive while an append is in
 // progress are stored with one more append, however many there are.
 func TestConcurrentSubmissionsShareAppends(t *testing.T) {
