--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -71,14 +71,14 @@
 // objective. If it cannot, it returns how long the caller should wait before it tries again; those that
 // are refused first return first. Scheduled and long-running jobs are always admitted.
 func (a *Admitter) Judge(id identifier.Cell, job *submitter.Job, queue connector.QueueConfig, now time.Time) (retryAfter time.Duration, admitted bool) {
-	if job.Schedule != nil || slices.ContainsFunc(job.Steps, func(s submitter.Step) bool { return s.LongRunning }) {
+	if queue.Stretch <= 0 && queue.Allowance <= 0 || job.Schedule != nil || slices.ContainsFunc(job.Steps, func(s submitter.Step) bool { return s.LongRunning }) {
 		return 0, true
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c := a.cells[id]
 	i := slices.IndexFunc(c.outlook.Services, func(s Service) bool { return s.Name == queue.Service })
-	if i < 0 || now.Sub(c.observedAt) > maxOutlookAge {
+	if i < 0 || c.outlook.Services[i].Processors <= 0 || now.Sub(c.observedAt) > maxOutlookAge {
 		return 0, true
 	}
 	s := c.outlook.Services[i]
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -27,6 +27,14 @@
 	ErrExpired = errors.New("records expired")
 )
 
+// MarkUnknown marks a non-nil err with ErrUnknown if unknown is set.
+func MarkUnknown(err error, unknown bool) error {
+	if err == nil || !unknown {
+		return err
+	}
+	return errors.Mark(err, ErrUnknown)
+}
+
 // Record is one entry of a log stream.
 type Record struct {
 	Offset identifier.Offset
--- a/internal/dialer/store.go
+++ b/internal/dialer/store.go
@@ -31,7 +31,7 @@
 // turns it back into the same error. One that is marked connector.ErrUnknown too stays unknown, whatever
 // another attempt of the same call was refused for, unless the store itself decided the call.
 func StoreRefusal(err error) *refuser.Refusal {
-	if errors.Is(err, connector.ErrUnknown) && errors.IsAny(err, connector.ErrBusy, connector.ErrNotSent) {
+	if errors.Is(err, connector.ErrUnknown) && errors.IsAny(err, connector.ErrBusy, connector.ErrNotSent, connector.ErrRefused) {
 		return refuser.NewUnknown(refuser.CodeUnavailable, "%v", err)
 	}
 	for code, target := range errorsByCode {
--- a/internal/intake/courier.go
+++ b/internal/intake/courier.go
@@ -74,11 +74,12 @@
 	for {
 		select {
 		case err := <-atHolder:
-			if err == nil {
-				return nil
+			if err == nil || c.slow() && errors.Is(err, connector.ErrBusy) && !errors.Is(err, connector.ErrUnknown) {
+				// If every host made the appends for which a slow store has no room, it would have less.
+				return err
 			}
 			c.distrustHolder()
-			return markIfUnknown(c.appendConfirmed(ctx, r), errors.Is(err, connector.ErrUnknown))
+			return connector.MarkUnknown(c.appendConfirmed(ctx, r), errors.Is(err, connector.ErrUnknown))
 		case <-patience.C:
 			if !c.slow() {
 				return c.appendBeside(ctx, r, atHolder)
@@ -110,17 +111,10 @@
 			}
 			hereDone = ctx.Done()
 		case <-hereDone:
-			return markIfUnknown(hereErr, errors.Is(holderErr, connector.ErrUnknown))
+			return connector.MarkUnknown(hereErr, errors.Is(holderErr, connector.ErrUnknown))
 		}
 	}
-	return markIfUnknown(hereErr, errors.Is(holderErr, connector.ErrUnknown))
-}
-
-func markIfUnknown(err error, unknown bool) error {
-	if err == nil || !unknown {
-		return err
-	}
-	return errors.Mark(err, connector.ErrUnknown)
+	return connector.MarkUnknown(hereErr, errors.Is(holderErr, connector.ErrUnknown))
 }
 
 // errStoreSilent is the outcome of an append that is not sent since the store does not answer.
@@ -160,6 +154,13 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), groupTimeout)
 		defer cancel()
+		// Callers may leave before their patience with the holder ends.
+		patience := time.AfterFunc(holderPatience, func() {
+			if !c.slow() {
+				c.distrustHolder()
+			}
+		})
+		defer patience.Stop()
 		_, err := dialer.NewStore(c.rpc, holder).Append(ctx, c.inboxAppend(r))
 		answer <- err
 	}()
@@ -203,6 +204,13 @@
 	c.heardAt = time.Now()
 }
 
+// inTouch reports whether the holder of the cell is in touch with this host.
+func (c *courier) inTouch() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.heardAt.IsZero() && time.Since(c.heardAt) <= lostAfter
+}
+
 // lost reports whether the holder of the cell was in touch with this host, but has not been for lostAfter.
 func (c *courier) lost() bool {
 	c.mu.Lock()
@@ -231,11 +239,11 @@
 	}
 }
 
-// Isolated reports whether this host is cut off: neither the store answers it, nor the holder of a cell
+// Isolated reports whether this host is cut off: neither the store answers it, nor the holder of any cell
 // that it was in touch with. Callers are served better by other hosts. An outage of the store alone
 // isolates no host.
 func (s *Service) Isolated() bool {
-	if !slices.ContainsFunc(s.couriers, (*courier).lost) {
+	if !slices.ContainsFunc(s.couriers, (*courier).lost) || slices.ContainsFunc(s.couriers, (*courier).inTouch) {
 		return false
 	}
 	_, open := s.breaker.RetryAfter()
@@ -268,10 +276,11 @@
 	unknown := false
 	for range a.Records {
 		err := <-results
-		unknown = unknown || errors.Is(err, connector.ErrUnknown)
+		// The caller learns one outcome for all records, and some may be stored although others are not.
+		unknown = unknown || err == nil && len(a.Records) > 1 || errors.Is(err, connector.ErrUnknown)
 		failed = errors.CombineErrors(failed, err)
 	}
-	return 0, markIfUnknown(failed, unknown)
+	return 0, connector.MarkUnknown(failed, unknown)
 }
 
 // holds reports whether this host holds the cell of a partition of the inbox.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -51,7 +51,10 @@
 // Service accepts jobs and cancellations on one host, and answers queries by asking the holders
 // of the cells, on this host or on others.
 type Service struct {
-	rpc         *messenger.Client
+	rpc *messenger.Client
+	// appends makes the appends at holders. A query that times out closes its connection, and with it
+	// all calls there.
+	appends     *messenger.Client
 	locator     *Locator
 	cells       int
 	couriers    []*courier
@@ -64,7 +67,7 @@
 // New returns a service for the given number of cells. LocalHolder returns the holder of a cell
 // if this host holds it.
 func New(store connector.Store, rpc *messenger.Client, locator *Locator, cells int, localHolder func(identifier.Cell) (Holder, bool), logger *zap.Logger) *Service {
-	s := &Service{rpc: rpc, locator: locator, cells: cells, localHolder: localHolder, logger: logger}
+	s := &Service{rpc: rpc, appends: messenger.NewClient(messenger.WithCloseOnTimeout()), locator: locator, cells: cells, localHolder: localHolder, logger: logger}
 	s.breaker = breaker.New("store, for submissions", func(ctx context.Context) error {
 		_, err := store.Owners(ctx, elector.Group)
 		return err
@@ -72,14 +75,17 @@
 	for cell := range identifier.Cell(cells) {
 		s.couriers = append(s.couriers, &courier{
 			cell: cell, batcher: &batcher{store: store, partition: connector.Partition(cell), logger: logger},
-			rpc: rpc, locator: locator, breaker: s.breaker,
+			rpc: s.appends, locator: locator, breaker: s.breaker,
 		})
 	}
 	return s
 }
 
 // Run watches whether the store answers, until ctx ends.
-func (s *Service) Run(ctx context.Context) error { return s.breaker.Run(ctx) }
+func (s *Service) Run(ctx context.Context) error {
+	defer s.appends.Close()
+	return s.breaker.Run(ctx)
+}
 
 // Submit stores a job. The error is a *refuser.Refusal; unless its effect is refuser.Unknown,
 // the job will not run.
--- a/internal/limiter/budget.go
+++ b/internal/limiter/budget.go
@@ -47,12 +47,14 @@
 	least int
 	// request is what a request takes beside its body.
 	request Bytes
+	// transferTime replaces the time that follows from the link, unless it is zero.
+	transferTime time.Duration
 }{
-	DoorFront:   {1.0 / 10, 1.0 / 3, 32, requestBytes},
-	DoorPeers:   {1.0 / 10, 1.0 / 4, 16, requestBytes},
-	DoorAdmin:   {1.0 / 40, 1.0 / 64, 8, reportBytes},
-	DoorMetrics: {1.0 / 80, 1.0 / 128, 8, reportBytes},
-	DoorReady:   {1.0 / 80, 1.0 / 64, 16, requestBytes},
+	DoorFront:   {1.0 / 10, 1.0 / 3, 32, requestBytes, 0},
+	DoorPeers:   {1.0 / 10, 1.0 / 4, 16, requestBytes, 0},
+	DoorAdmin:   {1.0 / 40, 1.0 / 64, 8, reportBytes, 0},
+	DoorMetrics: {1.0 / 80, 1.0 / 128, 8, reportBytes, 0},
+	DoorReady:   {1.0 / 80, 1.0 / 64, 16, requestBytes, probeTime},
 }
 
 const (
@@ -79,6 +81,8 @@
 	defaultDescriptors       = 8192
 	// transferShare is the part of the link that a full listener can count on.
 	transferShare = 1.0 / 8
+	// probeTime is what a readiness probe has; load balancers give one up after about a second.
+	probeTime = 5 * time.Second
 	// minTransferTime is the least time that a client has for sending a request or reading an answer.
 	minTransferTime = 30 * time.Second
 )
@@ -150,7 +154,7 @@
 	if b.size.Link > 0 {
 		transferTime = max(transferTime, time.Duration(float64(memory)/(float64(b.size.Link)*transferShare)*float64(time.Second)))
 	}
-	transferTime = cmp.Or(set.TransferTime, transferTime)
+	transferTime = cmp.Or(set.TransferTime, share.transferTime, transferTime)
 	d := &Door{
 		name: name, budget: b, memory: memory, connections: connections, transferTime: transferTime, request: share.request,
 		perAddress: max(int(float64(connections)*peerAddressShare), 1), byAddress: map[string]int{},
--- a/internal/planner/backlog.go
+++ b/internal/planner/backlog.go
@@ -39,7 +39,7 @@
 	}
 	processors := map[identifier.Service]identifier.Millicores{}
 	for _, w := range p.workerList {
-		if p.usable(w) {
+		if p.expectedBack(w) {
 			processors[w.entry.Service] += w.entry.Capacity.Processors - identifier.Millicores(servingUtilisation*float64(w.servingCPU))
 		}
 	}
@@ -59,3 +59,16 @@
 	}
 	return total
 }
+
+// expectedBack reports whether a worker will take tasks, though it may not have answered in this term yet
+// or may have missed a poll.
+func (p *Planner) expectedBack(w *worker) bool {
+	switch p.workerObstacle(w) {
+	case obstacleNone:
+		return true
+	case obstacleSilent:
+		return w.listed && !w.entry.Draining && !p.directory.Evacuated[w.entry.DataCentre]
+	default:
+		return false
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -238,15 +238,7 @@
 		best = viaPeers
 	}
 	unknown := errors.Is(direct.err, connector.ErrUnknown) || errors.Is(viaPeers.err, connector.ErrUnknown)
-	return best.value, markIfUnknown(best.err, unknown)
-}
-
-// markIfUnknown marks a non-nil err with connector.ErrUnknown if unknown is set.
-func markIfUnknown(err error, unknown bool) error {
-	if err == nil || !unknown {
-		return err
-	}
-	return errors.Mark(err, connector.ErrUnknown)
+	return best.value, connector.MarkUnknown(best.err, unknown)
 }
 
 // errNoPeer is the outcome of a call through peers if there are none.
@@ -274,7 +266,7 @@
 		}
 		unknown = unknown || errors.Is(err, connector.ErrUnknown)
 	}
-	out.err = markIfUnknown(out.err, unknown)
+	out.err = connector.MarkUnknown(out.err, unknown)
 	return out
 }
 
