--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -50,7 +50,7 @@
 	if p.headrooms.byService == nil {
 		p.headrooms.byService = map[identifier.Service]*headroom{}
 	}
-	kept := math.Exp(-float64(p.now.Sub(p.headrooms.updatedAt)) / float64(demandMemory))
+	decay := math.Exp(-float64(p.now.Sub(p.headrooms.updatedAt)) / float64(demandMemory))
 	p.headrooms.updatedAt = p.now
 	for service, d := range p.measureDemand() {
 		h := p.headrooms.byService[service]
@@ -58,7 +58,7 @@
 			h = &headroom{}
 			p.headrooms.byService[service] = h
 		}
-		h.update(d, kept)
+		h.update(d, decay)
 	}
 	for _, w := range p.placementCache.usable {
 		p.countPlaces(w, 1)
@@ -85,7 +85,7 @@
 		}
 		for _, groups := range j.occurrences {
 			for _, g := range groups {
-				if g.readyTasks > 0 && isPassing(g) {
+				if g.readyTasks > 0 && runsToCompletion(g) {
 					d.processors += identifier.Millicores(g.readyTasks) * g.step.Size.Processors
 					d.tasks += g.readyTasks
 				}
@@ -103,15 +103,15 @@
 	}
 }
 
-// update takes the present demand; kept is the weight of the past one.
-func (h *headroom) update(d *serviceDemand, kept float64) {
-	h.demand = max(float64(d.processors), h.demand*kept)
+// update takes the present demand; decay is the weight of the past one.
+func (h *headroom) update(d *serviceDemand, decay float64) {
+	h.demand = max(float64(d.processors), h.demand*decay)
 	if d.tasks > 0 && d.processors > 0 {
 		size := float64(d.processors) / float64(d.tasks)
 		if h.taskSize == 0 {
 			h.taskSize = size
 		}
-		h.taskSize = h.taskSize*kept + size*(1-kept)
+		h.taskSize = h.taskSize*decay + size*(1-decay)
 	}
 	h.needed, h.free = 0, 0
 	if h.taskSize > 0 {
@@ -148,7 +148,7 @@
 	return cost > 0 && h.free-cost < h.needed
 }
 
-// isPassing reports whether the tasks of a group reserve processors and run to completion.
-func isPassing(g *taskGroup) bool {
+// runsToCompletion reports whether the tasks of a group are plain and end by themselves.
+func runsToCompletion(g *taskGroup) bool {
 	return !g.step.LongRunning && loadKindOf(g.step) == loadPlain
 }
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -313,7 +313,8 @@
 	}
 }
 
-// reserve adds a run to a worker and takes its size from the free capacity.
+// reserve adds a run to a worker and takes its size from the free capacity, and from what its team and
+// the service's headroom have left.
 func (p *Planner) reserve(w *worker, r *run) {
 	p.countImage(w, r.task.group.step, 1)
 	w.runs[r.id] = r
@@ -350,7 +351,7 @@
 		w.serving += int(sign)
 		w.servingCPU += identifier.Millicores(sign) * size.Processors
 	}
-	if isPassing(r.task.group) {
+	if runsToCompletion(r.task.group) {
 		w.plain += int(sign)
 		w.plainCPU += identifier.Millicores(sign) * size.Processors
 	}
