TestTermsLendWorkers reads its terms without a race

Ruled out: the product, whose code has no part in that variable.

Change: the test's terms are atomic pointers, and a request before the other term exists is left out. What it checks is the same.

--- a/internal/dispatcher/lender_test.go
+++ b/internal/dispatcher/lender_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -89,8 +90,9 @@
 
 // lendingTerms are the terms of two cells over one store and fleet.
 type lendingTerms struct {
-	c     *testCell
-	terms [2]*Term
+	c *testCell
+	// terms are also read by the terms that ask others for room.
+	terms [2]atomic.Pointer[Term]
 	ends  [2]func()
 	names int
 }
@@ -103,14 +105,17 @@
 	runner, disconnect := l.c.fleet.Client()
 	term := NewTerm(cell, s, l.c.store.Client(s.Member), runner, zap.NewNop(), WithUptime(l.c.uptime),
 		WithRoomRequests(func(_ context.Context, to identifier.Cell, need planner.RoomNeed) error {
-			l.terms[to].Notify(planner.RoomRequested{From: cell, Need: need})
+			if t := l.terms[to].Load(); t != nil {
+				t.Notify(planner.RoomRequested{From: cell, Need: need})
+			}
 			return nil
 		}))
 	ctx, cancel := context.WithCancel(l.c.ctx)
 	if end := l.ends[cell]; end != nil {
 		time.AfterFunc(time.Second, end)
 	}
-	l.terms[cell], l.ends[cell] = term, func() { disconnect(); cancel() }
+	l.terms[cell].Store(term)
+	l.ends[cell] = func() { disconnect(); cancel() }
 	go func() { _ = term.Run(ctx, l.c.currentDirectory()) }()
 	go func() {
 		for ctx.Err() == nil {
@@ -142,14 +147,14 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				if err := l.terms[0].appendInbox(c.ctx, 0, []connector.KeyedRecord{record}); err != nil {
+				if err := l.terms[0].Load().appendInbox(c.ctx, 0, []connector.KeyedRecord{record}); err != nil {
 					t.Fatal(err)
 				}
 				time.Sleep(after * time.Millisecond)
 				l.takeOver(0)
 				l.takeOver(1)
 				time.Sleep(20 * time.Second)
-				if s := l.terms[0].Stats(); s.ReadyTasks > 0 || s.Runs != testWorkers || s.BorrowedWorkers == 0 {
+				if s := l.terms[0].Load().Stats(); s.ReadyTasks > 0 || s.Runs != testWorkers || s.BorrowedWorkers == 0 {
 					t.Errorf("%d tasks wait, %d run, %d workers borrowed", s.ReadyTasks, s.Runs, s.BorrowedWorkers)
 				}
 				for _, b := range c.fleet.Breaches() {
