Workers count as lent once their grant is stored

Operators saw workers as lent (balsamcove_workers_lent) from the decision on, while no other cell could use them, and as borrowed before their takeover was stored.

Change: a worker counts as lent once its grant is in the inbox of the borrower, and as borrowed once the borrower has stored that it holds it.

--- a/internal/planner/query.go
+++ b/internal/planner/query.go
@@ -68,8 +68,8 @@
 	// OverdueRuns are the runs held for longer than a lease without confirmation by their workers,
 	// and SilentWorkers the workers not heard from for as long.
 	OverdueRuns, SilentWorkers int
-	// LentWorkers are the workers of this cell that others hold, and BorrowedWorkers those of others that
-	// it holds.
+	// LentWorkers are the workers of this cell that were granted to others, and BorrowedWorkers those of
+	// others that it holds.
 	LentWorkers, BorrowedWorkers int
 	// OldestReady is the longest time that a task has waited for a worker.
 	OldestReady time.Duration
--- a/internal/planner/title.go
+++ b/internal/planner/title.go
@@ -253,13 +253,14 @@
 	}
 }
 
-// lentWorkers returns how many workers of the cell are lent to others, and how many it has borrowed.
+// lentWorkers returns how many workers of the cell are granted to others, and how many of theirs it holds. A
+// transfer counts only once it is stored.
 func (p *Planner) lentWorkers() (lent, borrowed int) {
 	for id, t := range p.titles.byWorker {
 		switch home := p.homeOf(id) == p.settings.Cell; {
-		case home && !t.Held && !t.unreadable:
+		case home && !t.Held && t.Granted:
 			lent++
-		case !home && t.Held:
+		case !home && t.Held && t.stored:
 			borrowed++
 		}
 	}
