Reports show tasks as running once a worker has confirmed them

Operators saw "step 0 runs on w" in job explain, and nothing else in job status, since a run was claimed: also while its start was refused again and again, or lost with its worker. A start that the worker calls stale counted as confirmed too, although the worker refuses a run that was stopped before it began in the same way.

Change: a run has begun once its worker has confirmed the start or lists it. Reports count these tasks as running, and explanations name the workers on which a step runs, is about to start, or may have begun.

The case "runs" of TestExplain asserted the fault: it expected "runs on w" of a claim that was not even stored. It now expects "is about to start on w", and "runs on w" after the worker has confirmed.

--- a/internal/commander/job.go
+++ b/internal/commander/job.go
@@ -89,9 +89,9 @@
 		s.printLine("job %s of queue %s is %s; submitted %s, to be completed by %s", r.ID, r.Queue, r.State, formatTime(r.Submitted), formatTime(r.Objective))
 		var rows [][]any
 		for i, st := range r.Steps {
-			rows = append(rows, []any{i, st.Tasks, st.Blocked, st.Ready, st.Placed, st.Done, st.Failures})
+			rows = append(rows, []any{i, st.Tasks, st.Blocked, st.Ready, st.Placed, st.Running, st.Done, st.Failures})
 		}
-		s.printTable([]any{"STEP", "TASKS", "BLOCKED", "READY", "PLACED", "DONE", "FAILURES"}, rows)
+		s.printTable([]any{"STEP", "TASKS", "BLOCKED", "READY", "PLACED", "RUNNING", "DONE", "FAILURES"}, rows)
 	})
 }
 
--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -126,9 +126,19 @@
 	p.sendStart(r)
 }
 
-// noteBegun records that a worker has begun a task of a job: it has confirmed a start, or lists a run or its
-// end. A start that was only sent may be refused, and its job waits on.
-func (p *Planner) noteBegun(j *job) {
+// noteBegun records that a worker has begun a run: it has confirmed the start, or lists the run or its end. A start
+// that was only sent may be refused, and its task waits on.
+func (p *Planner) noteBegun(r *run) {
+	if r.begun {
+		return
+	}
+	r.begun = true
+	p.noteTaskBegun(r.task)
+}
+
+// noteTaskBegun records that a worker has begun a run of a task.
+func (p *Planner) noteTaskBegun(t *task) {
+	j := t.group.job
 	if j.started || j.state.Ended() {
 		return
 	}
--- a/internal/planner/end.go
+++ b/internal/planner/end.go
@@ -18,7 +18,7 @@
 	w.unsavedEnds = true
 	p.newEnds[w] = endMark{w.incarnation, w.lastEnd}
 	if t := p.lookupTask(e.Run.Task); t != nil {
-		p.noteBegun(t.group.job)
+		p.noteTaskBegun(t)
 	}
 	if r := w.runs[e.Run]; r != nil {
 		p.handleRunEnd(r, e)
--- a/internal/planner/explainer.go
+++ b/internal/planner/explainer.go
@@ -77,12 +77,23 @@
 	if t := g.firstReady(); t != nil {
 		reasons = append(reasons, fmt.Sprintf("%s: %d of %d tasks wait for a worker; %s", prefix, g.readyTasks, len(g.tasks), p.explainTask(t)))
 	}
-	if workers := g.workerNames(); len(workers) > 0 {
-		reasons = append(reasons, fmt.Sprintf("%s runs on %s", prefix, strings.Join(workers, ", ")))
+	for _, s := range []struct {
+		text  string
+		match func(*run) bool
+	}{{"runs", (*run).shownRunning}, {"is about to start", (*run).isStarting}, {"may have begun", (*run).isDoubtful}} {
+		if workers := g.workerNames(s.match); len(workers) > 0 {
+			reasons = append(reasons, fmt.Sprintf("%s %s on %s", prefix, s.text, strings.Join(workers, ", ")))
+		}
 	}
 	return reasons
 }
 
+// isStarting reports whether a run is claimed, or its start is under way.
+func (r *run) isStarting() bool { return r.phase == runClaimed || r.phase == runStarting }
+
+// isDoubtful reports whether it is not known if a run has begun or still goes on.
+func (r *run) isDoubtful() bool { return !r.shownRunning() && !r.isStarting() }
+
 // placedTogether returns how many tasks of the step are only placed at once.
 func (g *taskGroup) placedTogether() int {
 	if g.step.Gang {
@@ -101,12 +112,14 @@
 	return nil
 }
 
-// workerNames returns the ids of the workers with runs of a group, in order.
-func (g *taskGroup) workerNames() []string {
+// workerNames returns the ids of the workers with matching runs of a group, in order.
+func (g *taskGroup) workerNames(match func(*run) bool) []string {
 	found := map[string]bool{}
 	for i := range g.tasks {
 		for _, r := range g.tasks[i].runs {
-			found[string(r.worker.id)] = true
+			if match(r) {
+				found[string(r.worker.id)] = true
+			}
 		}
 	}
 	return slices.Sorted(maps.Keys(found))
--- a/internal/planner/explainer_test.go
+++ b/internal/planner/explainer_test.go
@@ -31,7 +31,11 @@
 			b.p.forgetWorker(b.p.workers["w"])
 			delete(b.dir.Workers, "w")
 		}, nil, "has no worker"},
-		"runs":      {[]submitter.Step{{Count: 1, Size: smallSize}}, nil, nil, "step 0 runs on w"},
+		"claimed": {[]submitter.Step{{Count: 1, Size: smallSize}}, nil, nil, "step 0 is about to start on w"},
+		"runs": {[]submitter.Step{{Count: 1, Size: smallSize}}, nil, func(b *testbed) {
+			b.save()
+			b.confirmStart(b.starts()[0])
+		}, "step 0 runs on w"},
 		"cancelled": {[]submitter.Step{{Count: 1, Size: full}}, nil, func(b *testbed) { b.update(0, JobCancelled{ID: explainedJob}) }, "it is cancelled since"},
 	}
 	for name, tt := range tests {
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -287,10 +287,10 @@
 	}
 	r.listedIn = p.counts.polls
 	p.recordIncarnation(w, r)
-	p.noteBegun(r.task.group.job)
 	if r.phase == runStarting || r.phase == runUnsure {
 		p.markActive(r)
 	}
+	p.noteBegun(r)
 	if a.Percent != r.percent {
 		r.percent, r.progressAt = a.Percent, p.now
 	}
@@ -323,9 +323,9 @@
 	if t == nil {
 		return
 	}
-	p.noteBegun(t.group.job)
+	p.noteTaskBegun(t)
 	r := &run{
-		id: a.Run, task: t, size: t.group.step.Size, phase: runStopping, confirmedAt: p.now, startedAt: p.now,
+		id: a.Run, task: t, size: t.group.step.Size, phase: runStopping, begun: true, confirmedAt: p.now, startedAt: p.now,
 		unwanted: true, stopSent: true, pace: fullPace, progressAt: p.now, listedIn: p.counts.polls, incarnation: w.incarnation,
 	}
 	p.reserve(w, r)
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -36,12 +36,12 @@
 	case connector.VerdictOK, connector.VerdictStaleRun:
 		w.recordRenewal(e.Answer, p.now)
 		p.recordGrant(w, r.leaseUntil, e.Answer.Clock)
+		// VerdictStaleRun means that the run has ended already, or was stopped before it began. It counts
+		// as active until the next poll tells.
+		p.markActive(r)
 		if e.Answer.Verdict == connector.VerdictOK {
-			p.noteBegun(r.task.group.job)
+			p.noteBegun(r)
 		}
-		// VerdictStaleRun means that the run has ended already. It counts as active until the next
-		// poll reports how it ended.
-		p.markActive(r)
 		if r.unwanted {
 			p.stop(r)
 		}
@@ -61,7 +61,7 @@
 	}
 }
 
-// markActive records that a worker has confirmed a run.
+// markActive records that a worker knows of a run.
 func (p *Planner) markActive(r *run) {
 	r.phase, r.confirmedAt = runActive, p.now
 	r.task.refusals = 0
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -58,6 +58,9 @@
 	return r
 }
 
+// shownRunning reports whether a worker has begun a run and nothing shows that the run is over.
+func (r *run) shownRunning() bool { return r.begun && (r.phase == runActive || r.phase == runStopping) }
+
 // countTasks adds the tasks of a group to the counts of its step, by phase.
 func countTasks(s *submitter.StepReport, g *taskGroup) {
 	for i := range g.tasks {
@@ -71,6 +74,9 @@
 			s.Ready++
 		case taskPlaced:
 			s.Placed++
+			if slices.ContainsFunc(t.runs, (*run).shownRunning) {
+				s.Running++
+			}
 		case taskDone:
 			s.Done++
 		}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -40,7 +40,9 @@
 	// incarnation identifies the worker process to which the first start was sent or which last
 	// listed the run; zero if unknown.
 	incarnation identifier.UnixMillis
-	// confirmedAt is when the worker confirmed the start.
+	// begun is set once the worker has confirmed the start or listed the run. confirmedAt is when it did so,
+	// or answered that the run is over, which is also true of one that was stopped before it began.
+	begun       bool
 	confirmedAt time.Time
 	// startedAt is when this holder claimed, restored or adopted the run.
 	startedAt time.Time
--- a/pkg/submitter/report.go
+++ b/pkg/submitter/report.go
@@ -29,7 +29,9 @@
 	Tasks   int `json:"tasks"`
 	Blocked int `json:"blocked"`
 	Ready   int `json:"ready"`
+	// Placed have a run that may be active, and Running are those of them that a worker has begun.
 	Placed  int `json:"placed"`
+	Running int `json:"running"`
 	Done    int `json:"done"`
 	// Failures counts failed runs.
 	Failures int `json:"failures"`
