Tasks that never began are not placed and logged as restarts

Seen by operators: a lasting task whose first start was refused, not sent or lost is logged as one that runs again after an outage (balsamcove_lasting_outage) or after its run was lost (balsamcove_lost_restart), and it takes room that is kept for tasks that end.

Change: a task has begun once a worker has confirmed or listed a run or an end of it. For serving and long-running tasks the job's record names those that have not, since a new holder knows only of the claims. A run that an earlier holder started still counts as lost, since it may have begun; an answer that it is stale proves nothing.

--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -132,13 +132,19 @@
 	if r.begun {
 		return
 	}
-	r.begun = true
+	r.begun, r.task.refusals = true, 0
+	p.noteServiceResumed(r)
+	p.noteRestart(r)
 	p.noteTaskBegun(r.task)
 }
 
 // noteTaskBegun records that a worker has begun a run of a task.
 func (p *Planner) noteTaskBegun(t *task) {
 	j := t.group.job
+	if !t.begun && t.group.recordsBegun() {
+		p.markDirty(j)
+	}
+	t.begun = true
 	if j.started || j.state.Ended() {
 		return
 	}
--- a/internal/planner/confirmed_test.go
+++ b/internal/planner/confirmed_test.go
@@ -13,12 +13,14 @@
 // confirmationBed is a testbed with one worker, on which the only task of a job is started.
 type confirmationBed struct {
 	*testbed
+	log   *logRecorder
 	start StartRun
 }
 
 func newConfirmationBed(t *testing.T, steps ...submitter.Step) *confirmationBed {
 	t.Helper()
-	b := &confirmationBed{testbed: newTestbed(t, workerEntry("w"))}
+	b := &confirmationBed{testbed: newTestbed(t, workerEntry("w")), log: &logRecorder{}}
+	b.p.log = b.log
 	b.update(0)
 	b.answerPoll("w", connector.HoldAnswer{StartedAt: 1})
 	b.submit("00000000000000aa", steps...)
@@ -43,10 +45,26 @@
 	b.update(time.Millisecond, PollAnswered{Worker: "w", Order: connector.HoldOrder{Epoch: b.p.epochOf(b.p.workers["w"])}, SentAt: b.now, Answer: a})
 }
 
+// restart starts the task again, which failed starts may delay.
+func (b *confirmationBed) restart() {
+	b.t.Helper()
+	for range 100 {
+		b.update(100 * time.Millisecond)
+		b.list(false)
+		b.save()
+		if starts := b.starts(); len(starts) == 1 {
+			b.start = starts[0]
+			return
+		}
+	}
+	b.t.Fatal("the task is not started again")
+}
+
 // takeOver stores the state, and lets a new holder go on from it.
 func (b *confirmationBed) takeOver() {
 	b.save()
 	b.replaceHolder()
+	b.p.log = b.log
 	b.update(0)
 }
 
@@ -83,3 +101,40 @@
 		})
 	}
 }
+
+// TestTasksThatNeverBeganAreNotRestarted guards against long-running tasks whose start was only sent being
+// treated, logged and stored as tasks that run again after an outage.
+func TestTasksThatNeverBeganAreNotRestarted(t *testing.T) {
+	tests := map[string]struct {
+		events func(*confirmationBed)
+		// restart is whether the next run is one of a task that has run before.
+		restart bool
+	}{
+		"refused":                 {func(b *confirmationBed) { b.answer(connector.VerdictUnhealthy, nil) }, false},
+		"refused, takeover":       {func(b *confirmationBed) { b.answer(connector.VerdictUnhealthy, nil); b.takeOver() }, false},
+		"not sent":                {func(b *confirmationBed) { b.answer("", errUnsent) }, false},
+		"stopped before it began": {func(b *confirmationBed) { b.answer(connector.VerdictStaleRun, nil); b.list(false) }, false},
+		"unanswered, not there":   {func(b *confirmationBed) { b.answer("", errNoAnswer); b.answer("", errNoAnswer); b.list(false) }, false},
+		"begun, gone":             {func(b *confirmationBed) { b.answer(connector.VerdictOK, nil); b.list(false) }, true},
+		"begun, gone, takeover":   {func(b *confirmationBed) { b.answer(connector.VerdictOK, nil); b.list(false); b.takeOver() }, true},
+		"listed, gone":            {func(b *confirmationBed) { b.answer("", errNoAnswer); b.list(true); b.list(false) }, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newConfirmationBed(t, longRunningStep)
+			first := b.start.Order.Run.Task
+			tt.events(b)
+			if task := b.p.lookupTask(first); b.p.demandOf(task, 0).restart != tt.restart {
+				t.Errorf("placed as a restart: %t", !tt.restart)
+			}
+			b.restart()
+			b.answer(connector.VerdictOK, nil)
+			if got := len(b.log.resumed) > 0; got != tt.restart && !strings.Contains(name, "takeover") {
+				t.Errorf("logged as running again: %t", got)
+			}
+			if got := len(b.log.restarted) > 0; got != tt.restart && !strings.Contains(name, "takeover") {
+				t.Errorf("logged as lost and restarted: %t", got)
+			}
+		})
+	}
+}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -40,10 +40,12 @@
 
 // task is one task of one occurrence of a job.
 type task struct {
-	group      *taskGroup
-	index      int
-	phase      taskPhase
-	attempt    identifier.Attempt
+	group   *taskGroup
+	index   int
+	phase   taskPhase
+	attempt identifier.Attempt
+	// begun is set once a worker has begun a run of the task.
+	begun      bool
 	failures   int
 	checkpoint identifier.Checkpoint
 	runs       []*run
@@ -207,7 +209,7 @@
 	}
 	t.phase = taskReady
 	t.readyAt = p.now
-	if t.group.step.LongRunning && t.downSince.IsZero() && t.attempt > 0 {
+	if t.group.step.LongRunning && t.downSince.IsZero() && t.begun {
 		t.downSince = p.now
 	}
 	t.group.readyTasks++
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -64,13 +64,10 @@
 // markActive records that a worker knows of a run.
 func (p *Planner) markActive(r *run) {
 	r.phase, r.confirmedAt = runActive, p.now
-	r.task.refusals = 0
 	if !r.stalled {
 		r.progressAt = p.now
 	}
 	p.leaveWindow(r)
-	p.noteServiceResumed(r)
-	p.noteRestart(r)
 }
 
 // noteRestart logs that a task whose last run was lost runs again.
@@ -240,10 +237,13 @@
 // markLost gives up a run that has certainly ended with an unknown outcome. If this holder claimed it and
 // never learned that it began, its task goes on waiting from before.
 func (p *Planner) markLost(r *run) {
-	r.task.silence, r.task.lostAt = p.silenceOf(r.worker), p.now
-	p.log.RunLost(r.id, r.worker.id, r.task.silence, p.renewalOf(r.worker))
+	silence := p.silenceOf(r.worker)
+	p.log.RunLost(r.id, r.worker.id, silence, p.renewalOf(r.worker))
 	r.task.addLostAttempt(r.id.Attempt)
-	if r.confirmedAt.IsZero() && !r.readyAt.IsZero() {
+	if r.begun || r.inherited {
+		r.task.silence, r.task.lostAt = silence, p.now
+	}
+	if !r.begun && !r.readyAt.IsZero() {
 		p.dropUnstarted(r)
 		return
 	}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -219,7 +219,7 @@
 // demandOf returns the demand of a task; patience is that of its group.
 func (p *Planner) demandOf(t *task, patience time.Duration) demand {
 	d := demand{service: t.group.job.queue.Service, kind: loadKindOf(t.group.step), longRunning: t.group.step.LongRunning}
-	d.restart = t.attempt > 0 && (d.longRunning || d.kind == loadServing)
+	d.restart = t.begun && (d.longRunning || d.kind == loadServing)
 	d.neglected = d.kind == loadServing && t.group.job.runCount == 0 && p.now.Sub(t.readyAt) >= maxWithheld
 	if d.kind == loadScavenger {
 		waited := p.now.Sub(t.readyAt)
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -37,6 +37,16 @@
 	// FailedRuns are the failed runs of gangs. They are missing in records of releases that counted
 	// the failed members.
 	FailedRuns []FailedRunsRecord `cbor:"10,keyasint,omitempty"`
+	// NotBegun are the serving and long-running tasks of Tasks that no worker has begun.
+	NotBegun []TaskPosition `cbor:"12,keyasint,omitempty"`
+}
+
+// TaskPosition names a task of a job.
+type TaskPosition struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Index      int
 }
 
 // FailedRunsRecord names the runs of a gang of which a member has failed.
@@ -124,7 +134,8 @@
 }
 
 // Encode returns the CBOR encoding of the record. If that is larger than the store accepts, it leaves
-// out what only saves work after a takeover: the checkpoints, and then the lost runs and evictions.
+// out what only saves work after a takeover: the checkpoints, and then the lost runs, the evictions and which tasks
+// have not begun.
 func (r JobRecord) Encode() ([]byte, error) {
 	data, err := cbor.Marshal(r)
 	if err == nil && len(data) > maxEncodedBytes {
@@ -135,7 +146,7 @@
 		data, err = cbor.Marshal(r)
 	}
 	if err == nil && len(data) > maxEncodedBytes {
-		r.Lost, r.Evictions = nil, nil
+		r.Lost, r.Evictions, r.NotBegun = nil, nil, nil
 		data, err = cbor.Marshal(r)
 	}
 	return data, errors.Wrap(err, "encode job record")
@@ -342,6 +353,7 @@
 		r.Lost = lostRunsOf(j)
 		r.Evictions = evictionsOf(j)
 		r.FailedRuns = failedRunsOf(j)
+		r.NotBegun = notBegunOf(j)
 	}
 	if j.def.Schedule != nil {
 		r.Finished = slices.Clone(j.finished)
@@ -362,6 +374,28 @@
 	return out
 }
 
+// recordsBegun reports whether it is stored which tasks of the group have begun: those that serve or are long-running
+// are placed with preference once they have run before.
+func (g *taskGroup) recordsBegun() bool { return g.step.LongRunning || g.step.Serves() }
+
+// notBegunOf returns the serving and long-running tasks of a job that have had runs, none of which began.
+func notBegunOf(j *job) []TaskPosition {
+	var out []TaskPosition
+	for k, groups := range j.occurrences {
+		for _, g := range groups {
+			if !g.recordsBegun() {
+				continue
+			}
+			for i := range g.tasks {
+				if t := &g.tasks[i]; t.attempt > 0 && !t.begun && t.phase != taskDone {
+					out = append(out, TaskPosition{Occurrence: k, Step: g.index, Index: i})
+				}
+			}
+		}
+	}
+	return out
+}
+
 // evictionsOf returns the evictions of a job's tasks that are not done, of at most maxEvicted tasks.
 func evictionsOf(j *job) []EvictionRecord {
 	var out []EvictionRecord
@@ -462,6 +496,11 @@
 	for _, l := range rec.Lost {
 		p.restoreLost(j, l)
 	}
+	for _, n := range rec.NotBegun {
+		if t := p.lookupTask(identifier.JobTask{Job: j.def.ID, Occurrence: n.Occurrence, Step: n.Step, Index: n.Index}); t != nil {
+			t.begun = false
+		}
+	}
 	for _, f := range rec.FailedRuns {
 		if t := p.lookupTask(identifier.JobTask{Job: j.def.ID, Occurrence: f.Occurrence, Step: f.Step}); t != nil {
 			for _, a := range f.Attempts {
@@ -514,6 +553,8 @@
 	g := j.occurrences[rec.Occurrence][rec.Step]
 	t := &g.tasks[rec.Index]
 	t.attempt, t.failures, t.checkpoint = rec.Attempt, rec.Failures, rec.Checkpoint
+	// NotBegun names the exceptions, which earlier releases did not store.
+	t.begun = true
 	if rec.Done && t.phase != taskDone {
 		p.setPhase(t, taskDone)
 		g.doneTasks++
--- a/internal/planner/waiter_test.go
+++ b/internal/planner/waiter_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
+	"github.com/balsamcove/balsamcove/internal/renewer"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
 	"github.com/balsamcove/balsamcove/pkg/submitter"
 )
@@ -18,6 +19,7 @@
 	waits          []TaskWait
 	scavengerWaits []ScavengerWait
 	resumed        []time.Duration
+	restarted      []connector.RunID
 	overdue        []Overdue
 }
 
@@ -39,6 +41,10 @@
 	r.resumed = append(r.resumed, downtime)
 }
 
+func (r *logRecorder) TaskRestarted(run connector.RunID, _ identifier.Worker, _ renewer.Silence) {
+	r.restarted = append(r.restarted, run)
+}
+
 var longRunningStep = submitter.Step{Count: 1, Size: smallSize, LongRunning: true}
 
 // TestExpiredRunIsLoggedWithLastRenewal checks that the end of a run is logged with when the
