Records of earlier releases do not count sent starts as begun

Cause: changed what the stored state `running` means, from "its first start was sent" to "a worker has begun it", and a new holder cannot tell such records apart.

Change: a record says in a field of its own that the job has begun. Without it, ends, failures and checkpoints in the record show that; otherwise the job is queued until a worker lists one of its runs, which the first poll of a term does.

TestRecordsOfEarlierReleasesCountNoSentStarts failed before ("start sent": 0 jobs wait, want 1).

--- a/internal/planner/confirmed_test.go
+++ b/internal/planner/confirmed_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -138,3 +139,40 @@
 		})
 	}
 }
+
+// TestRecordsOfEarlierReleasesCountNoSentStarts guards against a job counting as begun after an update since
+// the earlier release, which stored jobs as running once a start was sent, held the cell.
+func TestRecordsOfEarlierReleasesCountNoSentStarts(t *testing.T) {
+	const job identifier.Job = "00000000000000aa"
+	tests := map[string]struct {
+		change func(*JobRecord)
+		listed bool
+		want   int
+	}{
+		"start sent":         {func(*JobRecord) {}, false, 1},
+		"start sent, listed": {func(*JobRecord) {}, true, 0},
+		"a task is done":     {func(r *JobRecord) { r.Tasks[0].Done, r.Tasks[0].Runs = true, nil }, false, 0},
+		"a run has failed":   {func(r *JobRecord) { r.Tasks[0].Failures, r.Tasks[0].Runs = 1, nil }, false, 0},
+		"a checkpoint":       {func(r *JobRecord) { r.Tasks[0].Checkpoint = "c" }, false, 0},
+		"begun":              {func(r *JobRecord) { r.Begun = true }, false, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newConfirmationBed(t, submitter.Step{Count: 1, Size: smallSize}, submitter.Step{Count: 1, Size: smallSize, After: []int{0}})
+			rec := recordOf(b.p.jobs[job])
+			rec.State, rec.Begun = StateRunning, false
+			rec.Tasks = slices.Clone(rec.Tasks)
+			tt.change(&rec)
+			def := b.p.jobs[job].def
+			b.replaceHolder()
+			b.p = New(epoch+1, b.now, b.p.settings)
+			b.update(0, JobSubmitted{Job: def, Queue: queueConfig}, JobsRestored{[]JobRecord{rec}})
+			if tt.listed {
+				b.list(true)
+			}
+			if got := b.p.UnstartedJobs(queue); got != tt.want {
+				t.Errorf("%d jobs wait, want %d", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -37,6 +37,9 @@
 	// FailedRuns are the failed runs of gangs. They are missing in records of releases that counted
 	// the failed members.
 	FailedRuns []FailedRunsRecord `cbor:"10,keyasint,omitempty"`
+	// Begun is set once a worker has begun a task of the job. It is missing in records of releases for which a job
+	// was StateRunning since its first start was sent.
+	Begun bool `cbor:"11,keyasint,omitempty"`
 	// NotBegun are the serving and long-running tasks of Tasks that no worker has begun.
 	NotBegun []TaskPosition `cbor:"12,keyasint,omitempty"`
 }
@@ -336,7 +339,7 @@
 
 // recordOf returns the record of a job as it has to be stored.
 func recordOf(j *job) JobRecord {
-	r := JobRecord{ID: j.def.ID, State: j.state, Accepted: identifier.UnixMillis(j.submitted.UnixMilli())}
+	r := JobRecord{ID: j.def.ID, State: j.state, Accepted: identifier.UnixMillis(j.submitted.UnixMilli()), Begun: j.started}
 	if !j.queueSubmitted {
 		queue := j.queue
 		r.Queue = &queue
@@ -486,9 +489,7 @@
 		j.submitted = rec.Accepted.Time()
 		j.setWaitStart(j.submitted)
 	}
-	if rec.State != StateQueued {
-		j.started = true
-	}
+	j.started = rec.showsBegun()
 	j.restoreFinished(rec.Finished)
 	for _, tr := range rec.Tasks {
 		p.restoreTask(j, tr)
@@ -521,12 +522,21 @@
 	case j.state.Ended():
 		// The job was cancelled after the record was written.
 	default:
-		j.state = rec.State
+		j.state = StateQueued
+		if j.started {
+			j.state = StateRunning
+		}
 		p.resumeJob(j)
 	}
 	j.visibleState = j.state
 }
 
+// showsBegun reports whether a worker has begun a task of the job, as far as the record tells.
+func (r JobRecord) showsBegun() bool {
+	return r.Begun || r.State.Ended() || len(r.Finished) > 0 || len(r.FailedRuns) > 0 || len(r.Evictions) > 0 ||
+		slices.ContainsFunc(r.Tasks, func(t TaskRecord) bool { return t.Done || t.Failures > 0 || t.Checkpoint != "" })
+}
+
 // closeJob removes a restored job that has ended from scheduling, and stops its runs.
 func (p *Planner) closeJob(j *job) {
 	for _, groups := range j.occurrences {
