--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -494,6 +494,26 @@
 	for _, tr := range rec.Tasks {
 		p.restoreTask(j, tr)
 	}
+	p.restoreHistory(j, rec)
+	switch {
+	case rec.State.Ended():
+		// A cancellation that was read later does not change how the job ended.
+		j.state, j.endedAt = rec.State, rec.EndedAt.Time()
+		p.closeJob(j)
+	case j.state.Ended():
+		// The job was cancelled after the record was written.
+	default:
+		j.state = StateQueued
+		if j.started {
+			j.state = StateRunning
+		}
+		p.resumeJob(j)
+	}
+	j.visibleState = j.state
+}
+
+// restoreHistory applies what the record of a job says of earlier runs of its tasks.
+func (p *Planner) restoreHistory(j *job, rec JobRecord) {
 	for _, l := range rec.Lost {
 		p.restoreLost(j, l)
 	}
@@ -514,21 +534,6 @@
 			t.evictions = max(e.Count, 0)
 		}
 	}
-	switch {
-	case rec.State.Ended():
-		// A cancellation that was read later does not change how the job ended.
-		j.state, j.endedAt = rec.State, rec.EndedAt.Time()
-		p.closeJob(j)
-	case j.state.Ended():
-		// The job was cancelled after the record was written.
-	default:
-		j.state = StateQueued
-		if j.started {
-			j.state = StateRunning
-		}
-		p.resumeJob(j)
-	}
-	j.visibleState = j.state
 }
 
 // showsBegun reports whether a worker has begun a task of the job, as far as the record tells.
