Questions to the adviser are given up by its order of answers, not by a time limit of their own

Each question had a time limit, computed from the configured durations as it was sent. The adviser handles the calls of a host in turn, so that all of the line were late at once, just before their turn; they were asked again at the end of the line, and each time the limit only doubled. Several cells of one host, or terms that follow each other there, counted only their own calls, and together went beyond the 32 calls that may wait. Ruled out: more questions in flight, a longer limit (both move the burst that fails).

Change: the host has one line of questions (planner.AdviceLine), shared by its terms. An answer shows how long calls really take, and that the questions in front of it are over: only these are given up, once an answer that was overtaken would have come as well. A question that is late without any answer behind it stays open while its step asks again, and its answer still counts. Planners that share the line take turns. A question that is given up closes its connection: the call had waited for its own time limit. Logged as `adviser has not answered`, with the factor by which the adviser is slower than configured.

--- a/internal/dispatcher/effect.go
+++ b/internal/dispatcher/effect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,7 +39,9 @@
 	case planner.PaceRun:
 		t.runInPool(func() { t.paceRun(ctx, c) }, c)
 	case planner.AskAdvice:
-		t.runInPool(func() { t.askAdviser(ctx, c) }, c)
+		t.askAdviser(ctx, c)
+	case planner.CancelAdvice:
+		t.advice.cancel(c.Call)
 	case planner.DeleteSubmissions:
 		t.runInPool(func() { t.deleteSubmissions(ctx, c) }, c)
 	case planner.RequestRoom:
@@ -84,21 +87,54 @@
 	case planner.PaceRun:
 		t.Notify(planner.PaceAnswered{Worker: c.To.ID, Run: c.Run, Percent: c.Percent, Err: err})
 	case planner.AskAdvice:
-		t.Notify(planner.AdviceAnswered{Step: c.Step, Workers: c.Workers, Err: err})
+		t.advice.cancel(c.Call)
+		t.Notify(planner.AdviceAnswered{Call: c.Call, Step: c.Step, Workers: c.Workers, Err: err})
 	case planner.DeleteSubmissions:
 		t.Notify(planner.SubmissionsDeleted{Jobs: c.Jobs, Err: err})
 	case planner.SendGrants:
 		t.Notify(planner.GrantsSent{Grants: c.Grants, Err: err})
-	case planner.RequestRoom, planner.DeleteGrants, planner.StepDown:
+	case planner.CancelAdvice, planner.RequestRoom, planner.DeleteGrants, planner.StepDown:
 	}
 }
 
+// askAdviser asks the adviser, until the planner cancels the question.
 func (t *Term) askAdviser(ctx context.Context, c planner.AskAdvice) {
+	ctx = t.advice.begin(ctx, c)
+	t.runInPool(func() {
+		defer t.advice.cancel(c.Call)
+		askedAt := time.Now()
+		advice, err := t.adviser.Advise(ctx, c.Step, c.Workers)
+		t.Notify(planner.AdviceAnswered{Call: c.Call, Step: c.Step, Workers: c.Workers, AskedAt: askedAt, Advice: advice, Err: err})
+	}, c)
+}
+
+// adviceCalls are the calls to the adviser that may be cancelled. The zero value is ready for use. It is safe for
+// concurrent use.
+type adviceCalls struct {
+	mu      sync.Mutex
+	cancels map[planner.AdviceCall]context.CancelFunc
+}
+
+// begin returns the context of a call.
+func (a *adviceCalls) begin(ctx context.Context, c planner.AskAdvice) context.Context {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
-	defer cancel()
-	askedAt := time.Now()
-	advice, err := t.adviser.Advise(ctx, c.Step, c.Workers)
-	t.Notify(planner.AdviceAnswered{Step: c.Step, Workers: c.Workers, AskedAt: askedAt, Advice: advice, Err: err})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cancels == nil {
+		a.cancels = map[planner.AdviceCall]context.CancelFunc{}
+	}
+	a.cancels[c.Call] = cancel
+	return ctx
+}
+
+// cancel ends a call, if it has not ended yet.
+func (a *adviceCalls) cancel(number planner.AdviceCall) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if cancel, ok := a.cancels[number]; ok {
+		cancel()
+		delete(a.cancels, number)
+	}
 }
 
 // noAdviser is the connector.Adviser of a term without a placement adviser; all calls fail.
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -67,7 +67,10 @@
 	// All clocks of the takeover derive from this reading. Decoding may take long, and comes before.
 	now := time.Now()
 	epoch := t.writer.Epoch
-	opts := []planner.Option{planner.WithLeases(leases, t.readAt, t.startClock.Load().uptime), planner.WithProfile(profiler.NewTimer(&t.stats.profile))}
+	opts := []planner.Option{
+		planner.WithLeases(leases, t.readAt, t.startClock.Load().uptime), planner.WithProfile(profiler.NewTimer(&t.stats.profile)),
+		planner.WithAdviceLine(t.adviceLine, func() { t.Notify(planner.Ticked{}) }),
+	}
 	if t.decisions != nil {
 		opts = append(opts, planner.WithLog(t.decisions))
 	}
--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -70,13 +70,15 @@
 // Term runs a cell on this host from its takeover until the host stops or is superseded. Its
 // methods are safe for concurrent use; Run must be called only once.
 type Term struct {
-	cell      identifier.Cell
-	settings  Settings
-	store     connector.Store
-	runner    connector.Runner
-	adviser   connector.Adviser
-	logger    *zap.Logger
-	decisions planner.Log
+	cell     identifier.Cell
+	settings Settings
+	store    connector.Store
+	runner   connector.Runner
+	adviser  connector.Adviser
+	// adviceLine is the line of the questions to the adviser.
+	adviceLine *planner.AdviceLine
+	logger     *zap.Logger
+	decisions  planner.Log
 	// The functions below are documented at the options that set them.
 	valid          func() bool
 	sinceStoreSeen func() time.Duration
@@ -90,6 +92,7 @@
 
 	events *eventQueue
 	stats  loadStats
+	advice adviceCalls
 	// saveDue holds a token while there are changes to store, or a tenure to confirm by an append.
 	saveDue chan struct{}
 	pool    *ants.Pool
@@ -126,6 +129,9 @@
 // Without an adviser these jobs wait.
 func WithAdviser(a connector.Adviser) Option { return func(t *Term) { t.adviser = a } }
 
+// WithAdviceLine sets the line of the questions to the adviser, which all terms of a host share.
+func WithAdviceLine(l *planner.AdviceLine) Option { return func(t *Term) { t.adviceLine = l } }
+
 // WithEventWaitRecorder sets a function that is called for each pass of the planner that takes
 // events, with the time for which the oldest of them has waited.
 func WithEventWaitRecorder(f func(time.Duration)) Option { return func(t *Term) { t.onEventWait = f } }
@@ -175,9 +181,9 @@
 	created := time.Now()
 	t := &Term{
 		cell: cell, settings: s, store: store, runner: runner,
-		adviser: noAdviser{},
-		logger:  logger.With(zap.Int("cell", int(cell))),
-		valid:   func() bool { return true }, sinceStoreSeen: func() time.Duration { return 0 },
+		adviser: noAdviser{}, adviceLine: planner.NewAdviceLine(),
+		logger: logger.With(zap.Int("cell", int(cell))),
+		valid:  func() bool { return true }, sinceStoreSeen: func() time.Duration { return 0 },
 		onEventWait: func(time.Duration) {}, estimateClock: func(context.Context, renewer.TakeoverID, time.Duration) renewer.ClockEstimate {
 			return renewer.ClockEstimate{}
 		},
@@ -205,6 +211,7 @@
 	if err := t.takeOver(ctx); err != nil {
 		return err
 	}
+	defer t.planner.LeaveAdviser()
 	t.Notify(planner.DirectoryChanged{Directory: directory})
 	g, runCtx := errgroup.WithContext(ctx)
 	g.Go(func() error { return t.followInbox(runCtx) })
--- a/internal/planner/adviser.go
+++ b/internal/planner/adviser.go
@@ -83,16 +83,42 @@
 	if !g.job.queue.Advised || g.readyTasks == 0 || p.now.Before(g.advice.retryAt) || !p.quotaAdmits(g.job, g.step.Size, g.placedTogether()) {
 		return
 	}
-	call := callDuration(g.job.queue.Advice, 1)
-	if p.adviceCalls.contains(g.id()) || !p.adviceCalls.mayAdd(p.now, call) {
+	if p.adviceWanted || p.adviceLine.awaits(g.id()) {
+		return
+	}
+	hasRoom := p.adviceLine.hasRoom(p.now, callDuration(g.job.queue.Advice, 1))
+	if !hasRoom && !p.adviceLine.shared() {
 		return
 	}
 	workers := p.adviceCandidates(g)
 	if len(workers) == 0 {
 		return
 	}
-	timeout := p.adviceCalls.add(p.now, g.id(), callDuration(g.job.queue.Advice, len(workers)))
-	p.emit(AskAdvice{Step: g.id(), Workers: workers, Timeout: timeout})
+	if !p.adviceLine.takeTurn(p.asker, hasRoom) {
+		p.adviceWanted = true
+		return
+	}
+	number := p.adviceLine.add(p.now, p.asker, g.id(), callDuration(g.job.queue.Advice, len(workers)))
+	p.emit(AskAdvice{Call: number, Step: g.id(), Workers: workers, Timeout: maxAdviceWait})
+}
+
+// LeaveAdviser ends the wait for the adviser's answers. It is called once at the end of a term.
+func (p *Planner) LeaveAdviser() { p.adviceLine.leave(p.asker) }
+
+// reviewAdvice gives up the questions whose answers are lost or of no use, and has those asked again whose answers
+// are late.
+func (p *Planner) reviewAdvice() {
+	ended, late := p.adviceLine.review(p.now, p.asker, func(id connector.StepID) bool {
+		g := p.lookupGroup(id)
+		return g == nil || g.job.state.Ended()
+	})
+	for _, c := range ended {
+		p.log.AdviceUnanswered(c.step, p.now.Sub(c.sentAt), p.adviceLine.Slowness(), true)
+		p.emit(CancelAdvice{Call: c.number})
+	}
+	for _, c := range late {
+		p.log.AdviceUnanswered(c.step, p.now.Sub(c.sentAt), p.adviceLine.Slowness(), false)
+	}
 }
 
 // adviceCandidates returns the best workers for a group among those that only lack a permit. Those
@@ -123,7 +149,7 @@
 		}
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
 	})
-	n := workersToAsk(g.job.queue.Advice, g.readyTasks, p.adviceCalls.permittedShare(g.job.queue.Name))
+	n := workersToAsk(g.job.queue.Advice, g.readyTasks, p.adviceLine.permittedShare(g.job.queue.Name))
 	out := make([]identifier.Worker, 0, n)
 	for _, c := range found[:min(len(found), n)] {
 		out = append(out, c.id)
@@ -133,7 +159,9 @@
 
 // adviceAnswered handles the answer to a question to the adviser, or its failure.
 func (p *Planner) adviceAnswered(e AdviceAnswered) {
-	p.adviceCalls.remove(p.now, e.Step, e.Err)
+	if !p.adviceLine.answered(p.now, e.Call, e.Err) {
+		return
+	}
 	g := p.lookupGroup(e.Step)
 	if g == nil {
 		return
@@ -146,7 +174,7 @@
 		}
 		return
 	}
-	p.adviceCalls.observePermits(g.job.queue.Name, len(e.Workers), len(e.Advice.Permits))
+	p.adviceLine.observePermits(g.job.queue.Name, len(e.Workers), len(e.Advice.Permits))
 	if g.advice.permits == nil {
 		g.advice.permits = map[identifier.Worker]permit{}
 	}
--- a/internal/planner/adviser_test.go
+++ b/internal/planner/adviser_test.go
@@ -43,7 +43,7 @@
 	for _, w := range permitted {
 		a.Permits = append(a.Permits, connector.Permit{Worker: w, Ticket: "for " + string(w)})
 	}
-	b.update(time.Millisecond, AdviceAnswered{Step: ask.Step, Workers: ask.Workers, AskedAt: b.now, Advice: a, Err: err})
+	b.update(time.Millisecond, AdviceAnswered{Call: ask.Call, Step: ask.Step, Workers: ask.Workers, AskedAt: b.now, Advice: a, Err: err})
 	b.save()
 	return b.starts()
 }
--- a/internal/planner/command.go
+++ b/internal/planner/command.go
@@ -35,13 +35,16 @@
 		Percent int
 		Epoch   identifier.Epoch
 	}
-	// AskAdvice asks the placement adviser which of the workers may run a step. An answer after
-	// Timeout is not waited for.
+	// AskAdvice asks the placement adviser which of the workers may run a step. The answer is waited for
+	// until CancelAdvice, and no longer than Timeout.
 	AskAdvice struct {
+		Call    AdviceCall
 		Step    connector.StepID
 		Workers []identifier.Worker
 		Timeout time.Duration
 	}
+	// CancelAdvice ends the wait for the answer to a question. It needs no answer itself.
+	CancelAdvice struct{ Call AdviceCall }
 	// DeleteSubmissions deletes the stored submissions and cancellations of retired jobs.
 	DeleteSubmissions struct{ Jobs []Retired }
 	// RequestRoom asks the holder of another cell for idle workers. It needs no answer.
@@ -66,6 +69,7 @@
 func (PollWorker) command()        {}
 func (PaceRun) command()           {}
 func (AskAdvice) command()         {}
+func (CancelAdvice) command()      {}
 func (DeleteSubmissions) command() {}
 func (RequestRoom) command()       {}
 func (SendGrants) command()        {}
--- a/internal/planner/event.go
+++ b/internal/planner/event.go
@@ -77,6 +77,7 @@
 	}
 	// AdviceAnswered brings the answer to an AskAdvice, or its error.
 	AdviceAnswered struct {
+		Call    AdviceCall
 		Step    connector.StepID
 		Workers []identifier.Worker
 		AskedAt time.Time
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -140,8 +140,11 @@
 	titles  titles
 	lending lending
 
-	// adviceCalls are the questions to the adviser that are in flight.
-	adviceCalls adviceCalls
+	// adviceLine holds the questions to the adviser, and asker identifies this planner in it. adviceWanted is
+	// set once a job has to wait in this pass until its question may be asked.
+	adviceLine   *AdviceLine
+	asker        adviceAsker
+	adviceWanted bool
 
 	// orderWindow bounds the starts and stops in flight.
 	orderWindow *limiter.Window
@@ -193,6 +196,12 @@
 	}
 }
 
+// WithAdviceLine sets the line of the questions to the adviser, which all planners of a host share. wake makes this
+// planner run; it must not block. By default the planner has a line of its own.
+func WithAdviceLine(l *AdviceLine, wake func()) Option {
+	return func(p *Planner) { p.adviceLine, p.asker = l, l.join(wake) }
+}
+
 // WithProfile sets the timer that measures each phase of the planner's work.
 func WithProfile(c *profiler.Timer) Option { return func(p *Planner) { p.profile = c } }
 
@@ -231,6 +240,9 @@
 	for _, o := range opts {
 		o(p)
 	}
+	if p.adviceLine == nil {
+		WithAdviceLine(NewAdviceLine(), func() {})(p)
+	}
 	if p.leases == nil {
 		WithLeases(renewer.State{}.BeginTerm(epoch, "", renewer.ClockEstimate{}), func(at time.Time) renewer.Reading {
 			return renewer.Reading{Now: at, Earliest: at.Sub(now), Latest: at.Sub(now)}
@@ -282,6 +294,9 @@
 	p.expireSilentWorkers()
 	p.scanOverdue()
 	p.retire()
+	p.reviewAdvice()
+	p.adviceWanted = false
+	p.adviceLine.withdraw(p.asker)
 	p.profile.Enter(profiler.PhasePlacement)
 	p.placeTasks()
 	p.logScavengerWait()
--- a/internal/supervisor/log.go
+++ b/internal/supervisor/log.go
@@ -184,6 +184,13 @@
 		zap.Int("asked", asked), zap.Int("good", good), logger.Err(err))
 }
 
+// AdviceUnanswered logs and counts a question to the adviser without an answer in time.
+func (l PlannerLog) AdviceUnanswered(step connector.StepID, waited time.Duration, slowness float64, givenUp bool) {
+	l.meter.CountDecision("adviceUnanswered")
+	l.logger.Warn("adviser has not answered", zap.String("request", string(step.Job)), zap.Int("step", step.Step),
+		zap.Duration("waitedMs", waited), zap.Float64("slowness", slowness), zap.Bool("givenUp", givenUp))
+}
+
 // UnclaimedRun logs and counts a run at a worker that no holder has claimed, and that is stopped.
 func (l PlannerLog) UnclaimedRun(run connector.RunID, worker identifier.Worker) {
 	l.meter.CountDecision("stray")
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -98,6 +98,7 @@
 	carrier         *carrier.Host
 	directory       Directory
 	adviser         connector.Adviser
+	adviceLine      *planner.AdviceLine
 	peerDoor        *limiter.Door
 	logger          *zap.Logger
 	plannerLog      planner.Log
@@ -148,7 +149,7 @@
 	s.Term.Member = member
 	sup := &Supervisor{
 		settings: s, store: store, directory: directory, logger: logger, plannerLog: plannerLog,
-		rpc: messenger.NewClient(messenger.WithCloseOnTimeout()), terms: map[identifier.Cell]*runningTerm{},
+		rpc: messenger.NewClient(messenger.WithCloseOnTimeout()), terms: map[identifier.Cell]*runningTerm{}, adviceLine: planner.NewAdviceLine(),
 	}
 	sup.pool = carrier.NewPool(runner, s.MaxWorkers, logger, carrier.WithCompression(s.linkLimited()), carrier.WithCellClocks(sup.cellClocks),
 		carrier.WithConfigVersions(sup.configVersion, directory.Expect), carrier.WithOutlooks(sup.outlooks))
@@ -366,7 +367,7 @@
 		}),
 	}
 	if s.adviser != nil {
-		opts = append(opts, dispatcher.WithAdviser(s.adviser))
+		opts = append(opts, dispatcher.WithAdviser(s.adviser), dispatcher.WithAdviceLine(s.adviceLine))
 	}
 	if s.recordEventWait != nil {
 		opts = append(opts, dispatcher.WithEventWaitRecorder(s.recordEventWait))
