Appends to the inbox are waited for as long as the store lets them wait

Callers saw a submission of unknown outcome after 4 s, and its record was appended twice, while the store answered: the holder's append for the host was in line.

Change: one bound for an append to a partition that several hosts append to (connector.SharedAppendTimeout, 2.5 s as the intake had), and twice that where the holder groups it with its own (GroupedAppendTimeout).

--- a/internal/auditor/check.go
+++ b/internal/auditor/check.go
@@ -38,7 +38,7 @@
 	// tell without a call, so this is one second of allowance for a busy machine.
 	maxUnknownQueueRefusal = time.Second
 	// maxNotRunRefusal limits the time to other refusals with effect notRun: one append
-	// (intake.appendTimeout), and a second for a busy machine.
+	// (connector.SharedAppendTimeout), and a second for a busy machine.
 	maxNotRunRefusal = 2500 * time.Millisecond
 	// StopGracePeriod limits the time from SIGTERM to the exit of a host (graceS).
 	StopGracePeriod = 6 * time.Second
--- a/internal/connector/store.go
+++ b/internal/connector/store.go
@@ -47,6 +47,13 @@
 const (
 	// MaxRecordBytes bounds the key and value of a record.
 	MaxRecordBytes = 256 << 10
+	// SharedAppendTimeout bounds an append to a partition to which several clients append. The store takes
+	// the appends to a partition in turn, and refuses one if more than 2 s of them are waiting: one that is
+	// not refused is answered within that time and its own.
+	SharedAppendTimeout = 2500 * time.Millisecond
+	// GroupedAppendTimeout bounds an append that another host makes together with its own. It waits there for
+	// the append under way.
+	GroupedAppendTimeout = 2 * SharedAppendTimeout
 	// MaxAppendBytes bounds the records of one append.
 	MaxAppendBytes = 2 << 20
 )
--- a/internal/dispatcher/advice_test.go
+++ b/internal/dispatcher/advice_test.go
@@ -22,6 +22,17 @@
 	return connector.Advice{}, ctx.Err()
 }
 
+// newTestPool returns a pool for the orders of a term that is not run.
+func newTestPool(t *testing.T) *ants.Pool {
+	t.Helper()
+	pool, err := ants.NewPool(1, ants.WithNonblocking(true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(pool.Release)
+	return pool
+}
+
 // TestQuestionsEndWhenCancelled guards against questions that are waited for after the planner has cancelled
 // them, or beyond their timeout.
 func TestQuestionsEndWhenCancelled(t *testing.T) {
@@ -35,13 +46,8 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				pool, err := ants.NewPool(1, ants.WithNonblocking(true))
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer pool.Release()
 				term := NewTerm(0, Settings{}, nil, nil, zap.NewNop(), WithAdviser(silentAdviser{}))
-				term.pool = pool
+				term.pool = newTestPool(t)
 				began := time.Now()
 				if err := term.execute(t.Context(), planner.AskAdvice{Call: 1, Timeout: time.Minute}); err != nil {
 					t.Fatal(err)
--- a/internal/dispatcher/lender.go
+++ b/internal/dispatcher/lender.go
@@ -61,7 +61,7 @@
 
 // appendInbox makes one attempt to append records to the inbox of a cell.
 func (t *Term) appendInbox(ctx context.Context, cell identifier.Cell, records []connector.KeyedRecord) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, connector.SharedAppendTimeout)
 	defer cancel()
 	_, err := t.store.Append(ctx, connector.KeyedAppend{Topic: intake.TopicInbox, Partition: connector.Partition(cell), Records: records})
 	return err
--- a/internal/dispatcher/saver.go
+++ b/internal/dispatcher/saver.go
@@ -219,9 +219,7 @@
 	for _, r := range c.Jobs {
 		records = append(records, intake.Deletions(r.ID, r.Key)...)
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	_, err := t.store.Append(ctx, connector.KeyedAppend{Topic: intake.TopicInbox, Partition: connector.Partition(t.cell), Records: records})
+	err := t.appendInbox(ctx, t.cell, records)
 	if err != nil {
 		t.logger.Warn("submissions of retired jobs not deleted", zap.Int("jobs", len(c.Jobs)), logger.Err(err))
 	}
--- a/internal/intake/batcher.go
+++ b/internal/intake/batcher.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// appendTimeout bounds one append. A slow store serialises the appends of all hosts to a
-	// partition, takes 100 ms for each, and refuses more once 2 s are queued.
-	appendTimeout = 2500 * time.Millisecond
 	// maxBatchBytes bounds the total size of the values in one append; it is below the limit
 	// of the store.
 	maxBatchBytes = 1 << 20
@@ -109,7 +106,7 @@
 }
 
 func (b *batcher) appendBatch(batch []*pendingRecord) error {
-	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), connector.SharedAppendTimeout)
 	defer cancel()
 	records := make([]connector.KeyedRecord, len(batch))
 	for i, p := range batch {
--- a/internal/intake/courier.go
+++ b/internal/intake/courier.go
@@ -32,9 +32,6 @@
 	distrustPeriod = 2 * time.Second
 	// lostAfter is how long a holder that answers heartbeats every 400 ms may be silent.
 	lostAfter = 900 * time.Millisecond
-	// groupTimeout bounds an append by the holder for another host. A slow store lets it wait for the
-	// one before.
-	groupTimeout = 2200 * time.Millisecond
 )
 
 // courier appends records to the inbox of a cell: at the host that holds the cell or, if that does not
@@ -152,7 +149,7 @@
 	}
 	answer := make(chan error, 1)
 	go func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), groupTimeout)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), connector.GroupedAppendTimeout)
 		defer cancel()
 		// Callers may leave before their patience with the holder ends.
 		patience := time.AfterFunc(holderPatience, func() {
--- a/internal/intake/courier_test.go
+++ b/internal/intake/courier_test.go
@@ -281,3 +281,46 @@
 func (knownJobs) List(submitter.Selection) (submitter.Reports, error) {
 	return submitter.Reports{}, nil
 }
+
+// turnStore takes appends in turn, each of which takes a while.
+type turnStore struct {
+	connector.Store
+	took time.Duration
+	mu   sync.Mutex
+	n    int
+}
+
+func (s *turnStore) Append(ctx context.Context, a connector.KeyedAppend) (identifier.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.n++
+	time.Sleep(s.took)
+	return s.Store.Append(ctx, a)
+}
+
+// TestAppendsAtTheHolderWaitForTheOneBefore guards against appends that a host gives up while the holder's append
+// before them is still in line at the store: the host appended again by itself, behind them, and the end of
+// the call closed the connection for all others.
+func TestAppendsAtTheHolderWaitForTheOneBefore(t *testing.T) {
+	// The store lets an append wait for up to 2 s.
+	store := &turnStore{Store: simulator.NewStore(1, 1).Client("holder"), took: 1600 * time.Millisecond}
+	holder := serveHolder(t, store, 0)
+	var wg sync.WaitGroup
+	for n := range 2 {
+		s := newService(t, store)
+		s.locator.holders[0] = holder
+		s.couriers[0].slowUntil = time.Now().Add(time.Minute)
+		wg.Go(func() {
+			time.Sleep(time.Duration(n) * 100 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+			defer cancel()
+			if err := s.Submit(ctx, Submission{Job: job(n)}); err != nil {
+				t.Errorf("submission %d: %v", n, err)
+			}
+		})
+	}
+	wg.Wait()
+	if store.n != 2 {
+		t.Errorf("%d appends for 2 submissions, want 2", store.n)
+	}
+}
--- a/internal/relayer/server.go
+++ b/internal/relayer/server.go
@@ -30,7 +30,7 @@
 type handler func(ctx context.Context, store connector.Store, params json.RawMessage) (any, error)
 
 var handlers = map[messenger.Method]handler{
-	messenger.MethodAppend: withParams(func(ctx context.Context, s connector.Store, a connector.KeyedAppend) (identifier.Offset, error) {
+	messenger.MethodAppend: withParamsWithin(connector.GroupedAppendTimeout, func(ctx context.Context, s connector.Store, a connector.KeyedAppend) (identifier.Offset, error) {
 		return s.Append(ctx, a)
 	}),
 	messenger.MethodNewest: withParams(func(ctx context.Context, s connector.Store, c dialer.PartitionCall) (connector.KeyedPage, error) {
@@ -102,17 +102,23 @@
 	return page
 }
 
-// serveTimeout bounds a call made for another host, including the time a read waits for records.
+// serveTimeout bounds a call made for another host, other than an append, including the time a read waits for
+// records.
 const serveTimeout = 2 * time.Second
 
 // withParams returns a handler that decodes the JSON parameters and makes call within serveTimeout.
 func withParams[In, Out any](call func(ctx context.Context, store connector.Store, in In) (Out, error)) handler {
+	return withParamsWithin(serveTimeout, call)
+}
+
+// withParamsWithin is withParams with another timeout.
+func withParamsWithin[In, Out any](timeout time.Duration, call func(ctx context.Context, store connector.Store, in In) (Out, error)) handler {
 	return func(ctx context.Context, store connector.Store, params json.RawMessage) (any, error) {
 		var in In
 		if err := json.Unmarshal(params, &in); err != nil {
 			return nil, refuser.New(refuser.CodeInvalid, "params are not readable: %v", err)
 		}
-		ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		return call(ctx, store, in)
 	}
