--- a/internal/planner/adviser.go
+++ b/internal/planner/adviser.go
@@ -108,16 +108,19 @@
 // reviewAdvice gives up the questions whose answers are lost or of no use, and has those asked again whose answers
 // are late.
 func (p *Planner) reviewAdvice() {
-	ended, late := p.adviceLine.review(p.now, p.asker, func(id connector.StepID) bool {
+	useless := func(id connector.StepID) bool {
 		g := p.lookupGroup(id)
 		return g == nil || g.job.state.Ended()
-	})
+	}
+	ended, late := p.adviceLine.review(p.now, p.asker, useless)
 	for _, c := range ended {
-		p.log.AdviceUnanswered(c.step, p.now.Sub(c.sentAt), p.adviceLine.Slowness(), true)
 		p.emit(CancelAdvice{Call: c.number})
+		if !useless(c.step) {
+			p.log.AdviceUnanswered(c.step, p.now.Sub(c.sentAt), p.adviceLine.slownessNow(), true)
+		}
 	}
 	for _, c := range late {
-		p.log.AdviceUnanswered(c.step, p.now.Sub(c.sentAt), p.adviceLine.Slowness(), false)
+		p.log.AdviceUnanswered(c.step, p.now.Sub(c.sentAt), p.adviceLine.slownessNow(), false)
 	}
 }
 
--- a/internal/planner/log.go
+++ b/internal/planner/log.go
@@ -77,8 +77,8 @@
 	// AdviceReceived reports an answer of the adviser: how many workers it was asked about and for
 	// how many of them it granted a permit.
 	AdviceReceived(step connector.StepID, asked, permitted int, err error)
-	// AdviceUnanswered reports a question to the adviser whose answer has not come in time. It is given up if it
-	// is lost or of no use any more; otherwise it still counts, but the step may ask again. slowness is how many
+	// AdviceUnanswered reports a question to the adviser whose answer has not come in time. It is given up if
+	// later ones were answered; otherwise it still counts, but the step may ask again. slowness is how many
 	// times longer than configured the adviser takes.
 	AdviceUnanswered(step connector.StepID, waited time.Duration, slowness float64, givenUp bool)
 	// UnclaimedRun reports a listed run that no stored claim accounts for.
