--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -78,6 +78,8 @@
 	onEvent  func(Event)
 	peers    func() []identifier.Incarnation
 	callPool *ants.Pool
+	// renewals are the renewals of the cell lease under way.
+	renewals sync.WaitGroup
 
 	// The state machines and the lease are guarded by View of their stream's follower.
 	config    stream
@@ -196,6 +198,8 @@
 	group.Go(func() error { return c.pollHosts(ctx) })
 	group.Go(func() error { return c.writeSnapshots(ctx) })
 	err := group.Wait()
+	// A renewal that reached the log after the release would take the lease again.
+	c.renewals.Wait()
 	c.releaseLease()
 	return err
 }
--- a/internal/coordinator/effect.go
+++ b/internal/coordinator/effect.go
@@ -147,8 +147,13 @@
 	if !due {
 		return
 	}
-	err := c.callPool.Submit(func() { c.appendOnce(c.cell, rec) })
+	c.renewals.Add(1)
+	err := c.callPool.Submit(func() {
+		defer c.renewals.Done()
+		c.appendOnce(c.cell, rec)
+	})
 	if err != nil {
+		c.renewals.Done()
 		c.logger.Warn("cell lease renewal dropped", zap.Error(err))
 	}
 }
