--- a/internal/coordinator/recovery_test.go
+++ b/internal/coordinator/recovery_test.go
@@ -37,7 +37,8 @@
 }
 
 // TestUrgentWorkStartsInTime checks how soon an urgent task starts while many watches run, also
-// after the lease holders were killed and while the log is slow.
+// after the lease holders were killed and while the log is slow. Running watches are not stopped for it, so that
+// the workers need room for all.
 func TestUrgentWorkStartsInTime(t *testing.T) {
 	tests := map[string]func(c *cluster){
 		"quiet": func(*cluster) {},
@@ -50,7 +51,7 @@
 	for name, inject := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(t, 3)
+				c := newCluster(t, 4)
 				defer c.stopAll()
 				for _, name := range []string{"a1", "a2", "a3", "b1", "b2", "b3"} {
 					c.start(name, identifier.DataCentre(name[:1]))
