--- a/internal/planner/advice_test.go
+++ b/internal/planner/advice_test.go
@@ -186,9 +186,10 @@
 	}
 }
 
-// TestBurstsOfAdvisedJobsDrain submits many jobs to an advised queue at once. All of them have to
-// begin within the time in which the adviser handles one call on 30 workers for each, and 14 s more,
-// in which submissions are to be done after the traffic.
+// TestBurstsOfAdvisedJobsDrain guards against bursts of jobs in which most questions to the adviser time out in its
+// line and are asked again behind it, so that the jobs never begin (LOST, review/7). All of them have to begin
+// within the time in which the adviser handles one call on 30 workers for each, and 14 s more, in which submissions
+// are to be done after the traffic.
 func TestBurstsOfAdvisedJobsDrain(t *testing.T) {
 	everyFifth := func(call int) bool { return call%5 == 0 }
 	advisers := map[string]adviserFake{
--- a/internal/planner/begun_test.go
+++ b/internal/planner/begun_test.go
@@ -9,8 +9,8 @@
 	"github.com/balsamcove/balsamcove/pkg/submitter"
 )
 
-// TestJobsWaitUntilAWorkerHasBegunThem checks that a job counts as waiting until a worker has begun a task of it,
-// whatever became of its starts and whoever holds the cell.
+// TestJobsWaitUntilAWorkerHasBegunThem guards against jobs that are not counted as waiting since a start of them was
+// sent, though it was refused or lost, by this holder or an earlier one (MIXED, review/10).
 func TestJobsWaitUntilAWorkerHasBegunThem(t *testing.T) {
 	const job identifier.Job = "00000000000000aa"
 	answer := func(verdict connector.OrderVerdict, err error) func(*testbed, StartRun) {
