--- a/internal/planner/adviceline.go
+++ b/internal/planner/adviceline.go
@@ -112,7 +112,7 @@
 	return &AdviceLine{patience: 1, permitted: map[identifier.Queue]float64{}}
 }
 
-// join adds a planner; wake makes it run once it may ask. Wake must not block.
+// join adds a planner; wake makes it run once it may ask. Wake must neither block nor call the line.
 func (l *AdviceLine) join(wake func()) adviceAsker {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -197,7 +197,7 @@
 }
 
 // WithAdviceLine sets the line of the questions to the adviser, which all planners of a host share. wake makes this
-// planner run; it must not block. By default the planner has a line of its own.
+// planner run; it must neither block nor call the line. By default the planner has a line of its own.
 func WithAdviceLine(l *AdviceLine, wake func()) Option {
 	return func(p *Planner) { p.adviceLine, p.asker = l, l.join(wake) }
 }
