One walk over the task groups of a job

Each group knows its occurrence and step.

The four look-ups of a task by its place in a record are one function of restoreHistory. Behaviour is the same.

--- a/internal/planner/backlog.go
+++ b/internal/planner/backlog.go
@@ -52,10 +52,8 @@
 // remainingWork returns the estimated processor time of a job's tasks that are not done.
 func (j *job) remainingWork() admitter.CoreTime {
 	total := admitter.CoreTime(0)
-	for _, groups := range j.occurrences {
-		for _, g := range groups {
-			total += admitter.Work(g.step, len(g.tasks)-g.doneTasks)
-		}
+	for g := range j.groups() {
+		total += admitter.Work(g.step, len(g.tasks)-g.doneTasks)
 	}
 	return total
 }
--- a/internal/planner/fairness.go
+++ b/internal/planner/fairness.go
@@ -84,10 +84,8 @@
 // readySize returns the total size of a job's ready tasks.
 func (j *job) readySize() identifier.Size {
 	var sum identifier.Size
-	for _, groups := range j.occurrences {
-		for _, g := range groups {
-			sum = sum.Add(g.step.Size.Times(g.readyTasks))
-		}
+	for g := range j.groups() {
+		sum = sum.Add(g.step.Size.Times(g.readyTasks))
 	}
 	return sum
 }
--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -83,12 +83,10 @@
 		if d == nil {
 			continue
 		}
-		for _, groups := range j.occurrences {
-			for _, g := range groups {
-				if g.readyTasks > 0 && runsToCompletion(g) {
-					d.processors += identifier.Millicores(g.readyTasks) * g.step.Size.Processors
-					d.tasks += g.readyTasks
-				}
+		for g := range j.groups() {
+			if g.readyTasks > 0 && runsToCompletion(g) {
+				d.processors += identifier.Millicores(g.readyTasks) * g.step.Size.Processors
+				d.tasks += g.readyTasks
 			}
 		}
 	}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"iter"
 	"time"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
@@ -159,6 +160,19 @@
 	return identifier.JobTask{Job: t.group.job.def.ID, Occurrence: t.group.occurrence, Step: t.group.index, Index: t.index}
 }
 
+// groups returns the task groups of all occurrences that are kept. The order of the occurrences is not fixed.
+func (j *job) groups() iter.Seq[*taskGroup] {
+	return func(yield func(*taskGroup) bool) {
+		for _, groups := range j.occurrences {
+			for _, g := range groups {
+				if !yield(g) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // createOccurrence creates the task groups of an occurrence that is due.
 func (p *Planner) createOccurrence(j *job, occurrence int) {
 	groups := make([]*taskGroup, len(j.def.Steps))
@@ -281,10 +295,8 @@
 	}
 	j.state = state
 	j.endedAt = p.now
-	for _, groups := range j.occurrences {
-		for _, g := range groups {
-			p.stopGroup(g)
-		}
+	for g := range j.groups() {
+		p.stopGroup(g)
 	}
 	delete(p.waiting, j)
 	p.markDirty(j)
--- a/internal/planner/lender.go
+++ b/internal/planner/lender.go
@@ -102,20 +102,18 @@
 	var elsewhere []connector.WorkerEntry
 	searched := 0
 	for j := range p.waiting {
-		for _, groups := range j.occurrences {
-			for _, g := range groups {
-				t := g.firstReady()
-				if t == nil || p.now.Sub(later(t.readyAt, t.notBefore)) < minNeedWait || !p.quotaAdmits(g.job, g.step.Size, g.placedTogether()) {
-					continue
-				}
-				if searched++; searched > maxGroupsSearched || len(needs) >= maxNeeds {
-					return needs
-				}
-				if elsewhere == nil {
-					elsewhere = p.listedElsewhere()
-				}
-				needs = mergeNeed(needs, p.needOf(g, t, elsewhere))
+		for g := range j.groups() {
+			t := g.firstReady()
+			if t == nil || p.now.Sub(later(t.readyAt, t.notBefore)) < minNeedWait || !p.quotaAdmits(g.job, g.step.Size, g.placedTogether()) {
+				continue
 			}
+			if searched++; searched > maxGroupsSearched || len(needs) >= maxNeeds {
+				return needs
+			}
+			if elsewhere == nil {
+				elsewhere = p.listedElsewhere()
+			}
+			needs = mergeNeed(needs, p.needOf(g, t, elsewhere))
 		}
 	}
 	return needs
--- a/internal/planner/query.go
+++ b/internal/planner/query.go
@@ -119,11 +119,9 @@
 // step counts with its first one; zero if none is ready.
 func (j *job) readySince() time.Time {
 	var since time.Time
-	for _, groups := range j.occurrences {
-		for _, g := range groups {
-			if t := g.firstReady(); t != nil && (since.IsZero() || t.readyAt.Before(since)) {
-				since = t.readyAt
-			}
+	for g := range j.groups() {
+		if t := g.firstReady(); t != nil && (since.IsZero() || t.readyAt.Before(since)) {
+			since = t.readyAt
 		}
 	}
 	return since
--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -188,11 +188,9 @@
 
 // hasReadyScavengers reports whether a job has ready scavengers.
 func (j *job) hasReadyScavengers() bool {
-	for _, groups := range j.occurrences {
-		for _, g := range groups {
-			if g.readyTasks > 0 && g.step.Scavenger {
-				return true
-			}
+	for g := range j.groups() {
+		if g.readyTasks > 0 && g.step.Scavenger {
+			return true
 		}
 	}
 	return false
--- a/internal/planner/quota.go
+++ b/internal/planner/quota.go
@@ -138,11 +138,9 @@
 // quotaTasks returns how many ready tasks of a job wait for the limit of its team.
 func (p *Planner) quotaTasks(j *job) int {
 	n := 0
-	for _, groups := range j.occurrences {
-		for _, g := range groups {
-			if g.readyTasks > 0 && !p.quotaAdmits(j, g.step.Size, g.placedTogether()) {
-				n += g.readyTasks
-			}
+	for g := range j.groups() {
+		if g.readyTasks > 0 && !p.quotaAdmits(j, g.step.Size, g.placedTogether()) {
+			n += g.readyTasks
 		}
 	}
 	return n
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -347,10 +347,8 @@
 	if j.state.Ended() {
 		r.EndedAt = identifier.UnixMillis(j.endedAt.UnixMilli())
 	}
-	for k, groups := range j.occurrences {
-		for _, g := range groups {
-			r.Tasks = appendTasks(r.Tasks, k, g)
-		}
+	for g := range j.groups() {
+		r.Tasks = appendTasks(r.Tasks, g)
 	}
 	if !j.state.Ended() {
 		r.Lost = lostRunsOf(j)
@@ -367,11 +365,9 @@
 // failedRunsOf returns the failed runs of a job's gangs that are not done.
 func failedRunsOf(j *job) []FailedRunsRecord {
 	var out []FailedRunsRecord
-	for k, groups := range j.occurrences {
-		for _, g := range groups {
-			if len(g.failedRuns) > 0 && g.doneTasks < len(g.tasks) {
-				out = append(out, FailedRunsRecord{Occurrence: k, Step: g.index, Attempts: slices.Sorted(maps.Keys(g.failedRuns))})
-			}
+	for g := range j.groups() {
+		if len(g.failedRuns) > 0 && g.doneTasks < len(g.tasks) {
+			out = append(out, FailedRunsRecord{Occurrence: g.occurrence, Step: g.index, Attempts: slices.Sorted(maps.Keys(g.failedRuns))})
 		}
 	}
 	return out
@@ -384,15 +380,13 @@
 // notBegunOf returns the serving and long-running tasks of a job that have had runs, none of which began.
 func notBegunOf(j *job) []TaskPosition {
 	var out []TaskPosition
-	for k, groups := range j.occurrences {
-		for _, g := range groups {
-			if !g.recordsBegun() {
-				continue
-			}
-			for i := range g.tasks {
-				if t := &g.tasks[i]; t.attempt > 0 && !t.begun && t.phase != taskDone {
-					out = append(out, TaskPosition{Occurrence: k, Step: g.index, Index: i})
-				}
+	for g := range j.groups() {
+		if !g.recordsBegun() {
+			continue
+		}
+		for i := range g.tasks {
+			if t := &g.tasks[i]; t.attempt > 0 && !t.begun && t.phase != taskDone {
+				out = append(out, TaskPosition{Occurrence: g.occurrence, Step: g.index, Index: i})
 			}
 		}
 	}
@@ -402,12 +396,10 @@
 // evictionsOf returns the evictions of a job's tasks that are not done, of at most maxEvicted tasks.
 func evictionsOf(j *job) []EvictionRecord {
 	var out []EvictionRecord
-	for k, groups := range j.occurrences {
-		for _, g := range groups {
-			for i := range g.tasks {
-				if t := &g.tasks[i]; t.evictions > 0 && t.phase != taskDone && len(out) < maxEvicted {
-					out = append(out, EvictionRecord{Occurrence: k, Step: g.index, Index: i, Count: t.evictions})
-				}
+	for g := range j.groups() {
+		for i := range g.tasks {
+			if t := &g.tasks[i]; t.evictions > 0 && t.phase != taskDone && len(out) < maxEvicted {
+				out = append(out, EvictionRecord{Occurrence: g.occurrence, Step: g.index, Index: i, Count: t.evictions})
 			}
 		}
 	}
@@ -418,19 +410,17 @@
 func lostRunsOf(j *job) []LostRecord {
 	var out []LostRecord
 	remaining := maxLost
-	for k, groups := range j.occurrences {
-		for _, g := range groups {
-			if g.step.LongRunning {
+	for g := range j.groups() {
+		if g.step.LongRunning {
+			continue
+		}
+		for i := range g.tasks {
+			t := &g.tasks[i]
+			if t.phase == taskDone || len(t.lostAttempts) == 0 || len(t.lostAttempts) > remaining {
 				continue
 			}
-			for i := range g.tasks {
-				t := &g.tasks[i]
-				if t.phase == taskDone || len(t.lostAttempts) == 0 || len(t.lostAttempts) > remaining {
-					continue
-				}
-				remaining -= len(t.lostAttempts)
-				out = append(out, LostRecord{Occurrence: k, Step: g.index, Index: i, Attempts: slices.Sorted(maps.Keys(t.lostAttempts))})
-			}
+			remaining -= len(t.lostAttempts)
+			out = append(out, LostRecord{Occurrence: g.occurrence, Step: g.index, Index: i, Attempts: slices.Sorted(maps.Keys(t.lostAttempts))})
 		}
 	}
 	return out
@@ -438,15 +428,15 @@
 
 // appendTasks appends the records of a group's tasks. Tasks that never ran are left out, and so are
 // those of an ended job or a finished occurrence that have no run left.
-func appendTasks(out []TaskRecord, occurrence int, g *taskGroup) []TaskRecord {
-	ended := g.job.state.Ended() || g.job.def.Schedule != nil && g.job.finished.contains(occurrence)
+func appendTasks(out []TaskRecord, g *taskGroup) []TaskRecord {
+	ended := g.job.state.Ended() || g.job.def.Schedule != nil && g.job.finished.contains(g.occurrence)
 	for i := range g.tasks {
 		t := &g.tasks[i]
 		if t.attempt == 0 || ended && len(t.runs) == 0 {
 			continue
 		}
 		rec := TaskRecord{
-			Occurrence: occurrence, Step: g.index, Index: i, Done: t.phase == taskDone,
+			Occurrence: g.occurrence, Step: g.index, Index: i, Done: t.phase == taskDone,
 			Attempt: t.attempt, Failures: t.failures,
 		}
 		if !rec.Done {
@@ -514,23 +504,30 @@
 
 // restoreHistory applies what the record of a job says of earlier runs of its tasks.
 func (p *Planner) restoreHistory(j *job, rec JobRecord) {
+	lookUp := func(occurrence, step, index int) *task {
+		return p.lookupTask(identifier.JobTask{Job: j.def.ID, Occurrence: occurrence, Step: step, Index: index})
+	}
 	for _, l := range rec.Lost {
-		p.restoreLost(j, l)
+		if t := lookUp(l.Occurrence, l.Step, l.Index); t != nil {
+			for _, a := range l.Attempts {
+				t.addLostAttempt(a)
+			}
+		}
 	}
 	for _, n := range rec.NotBegun {
-		if t := p.lookupTask(identifier.JobTask{Job: j.def.ID, Occurrence: n.Occurrence, Step: n.Step, Index: n.Index}); t != nil {
+		if t := lookUp(n.Occurrence, n.Step, n.Index); t != nil {
 			t.begun = false
 		}
 	}
 	for _, f := range rec.FailedRuns {
-		if t := p.lookupTask(identifier.JobTask{Job: j.def.ID, Occurrence: f.Occurrence, Step: f.Step}); t != nil {
+		if t := lookUp(f.Occurrence, f.Step, 0); t != nil {
 			for _, a := range f.Attempts {
 				t.group.addFailedRun(a)
 			}
 		}
 	}
 	for _, e := range rec.Evictions {
-		if t := p.lookupTask(identifier.JobTask{Job: j.def.ID, Occurrence: e.Occurrence, Step: e.Step, Index: e.Index}); t != nil {
+		if t := lookUp(e.Occurrence, e.Step, e.Index); t != nil {
 			t.evictions = max(e.Count, 0)
 		}
 	}
@@ -544,10 +541,8 @@
 
 // closeJob removes a restored job that has ended from scheduling, and stops its runs.
 func (p *Planner) closeJob(j *job) {
-	for _, groups := range j.occurrences {
-		for _, g := range groups {
-			p.stopGroup(g)
-		}
+	for g := range j.groups() {
+		p.stopGroup(g)
 	}
 	delete(p.waiting, j)
 	delete(p.scheduled, j)
@@ -589,17 +584,6 @@
 	}
 }
 
-// restoreLost applies the record of a task's lost runs.
-func (p *Planner) restoreLost(j *job, rec LostRecord) {
-	t := p.lookupTask(identifier.JobTask{Job: j.def.ID, Occurrence: rec.Occurrence, Step: rec.Step, Index: rec.Index})
-	if t == nil {
-		return
-	}
-	for _, a := range rec.Attempts {
-		t.addLostAttempt(a)
-	}
-}
-
 // restoreRun adds a run of an earlier holder, in runUnsure until its worker answers.
 func (p *Planner) restoreRun(t *task, rec RunRecord) {
 	w := p.ensureWorker(rec.Worker)
--- a/internal/planner/summarizer.go
+++ b/internal/planner/summarizer.go
@@ -73,16 +73,14 @@
 	}
 	var sample []*task
 	for j := range p.waiting {
-		for _, groups := range j.occurrences {
-			for _, g := range groups {
-				t := g.firstReady()
-				if t == nil || !g.step.Scavenger {
-					continue
-				}
-				w.add(p.now, t, p.patience(g))
-				if len(sample) < sampledSteps {
-					sample = append(sample, t)
-				}
+		for g := range j.groups() {
+			t := g.firstReady()
+			if t == nil || !g.step.Scavenger {
+				continue
+			}
+			w.add(p.now, t, p.patience(g))
+			if len(sample) < sampledSteps {
+				sample = append(sample, t)
 			}
 		}
 	}
--- a/internal/planner/waiter.go
+++ b/internal/planner/waiter.go
@@ -45,10 +45,8 @@
 // logWaits logs which steps wait for a worker while no tasks are placed.
 func (p *Planner) logWaits() {
 	for j := range p.waiting {
-		for _, groups := range j.occurrences {
-			for _, g := range groups {
-				p.logGroupWait(g)
-			}
+		for g := range j.groups() {
+			p.logGroupWait(g)
 		}
 	}
 }
