--- a/internal/planner/confirmed_test.go
+++ b/internal/planner/confirmed_test.go
@@ -39,10 +39,21 @@
 
 // list has the worker list the run of the last start, or nothing.
 func (b *confirmationBed) list(listed bool) {
-	a := connector.HoldAnswer{OrderAnswer: connector.OrderAnswer{Verdict: connector.VerdictOK}, StartedAt: 1}
+	a := connector.HoldAnswer{}
 	if listed {
 		a.Active = []connector.ActiveRun{{Run: b.start.Order.Run}}
 	}
+	b.report(a)
+}
+
+// listEnded has the worker list the run of the last start as failed.
+func (b *confirmationBed) listEnded() {
+	b.report(connector.HoldAnswer{Ended: []connector.EndedRun{{Number: 1, Run: b.start.Order.Run, Reason: connector.EndFailed}}})
+}
+
+// report brings the worker's answer to a poll.
+func (b *confirmationBed) report(a connector.HoldAnswer) {
+	a.Verdict, a.StartedAt = connector.VerdictOK, 1
 	b.update(time.Millisecond, PollAnswered{Worker: "w", Order: connector.HoldOrder{Epoch: b.p.epochOf(b.p.workers["w"])}, SentAt: b.now, Answer: a})
 }
 
