--- a/internal/planner/adviceline.go
+++ b/internal/planner/adviceline.go
@@ -86,9 +86,9 @@
 	calls  []adviceCall
 	last   AdviceCall
 	askers []adviceTurn
-	// slowness is how many times longer calls take than configured, at least one; zero before the first
-	// answer. It is the lower one of the last two answers, of which lastRatio is the last: one may have been
-	// delayed for another reason. answeredAt is when the last answer came.
+	// slowness is how many times longer calls take than configured, at least one. It is the lower one of the
+	// last two answers, of which lastRatio is the last, or zero before the first: one may have been delayed
+	// for another reason. answeredAt is when the last answer came.
 	slowness, lastRatio float64
 	answeredAt          time.Time
 	// patience is the factor by which answers are waited for longer since none came in time.
@@ -109,7 +109,7 @@
 
 // NewAdviceLine returns an empty line.
 func NewAdviceLine() *AdviceLine {
-	return &AdviceLine{patience: 1, permitted: map[identifier.Queue]float64{}}
+	return &AdviceLine{slowness: 1, patience: 1, permitted: map[identifier.Queue]float64{}}
 }
 
 // join adds a planner; wake makes it run once it may ask. Wake must neither block nor call the line.
@@ -159,7 +159,7 @@
 
 // scaled returns how long the adviser is expected to take for what takes d by the configuration.
 func (l *AdviceLine) scaled(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * max(l.slowness, 1))
+	return time.Duration(float64(d) * l.slowness)
 }
 
 // upTo returns how long the adviser takes by the configuration for call number i and those in front of it that
@@ -370,5 +370,5 @@
 func (l *AdviceLine) slownessNow() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return max(l.slowness, 1)
+	return l.slowness
 }
