A messenger server tells its address

Four tests looked for a free port, closed it and listened on it again, so that another process could take it in between. They listen on port 0 now and ask the server.

--- a/internal/intake/courier_test.go
+++ b/internal/intake/courier_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -23,17 +22,11 @@
 )
 
 // serveHolder starts a host that holds cell 0 and answers the appends of other hosts after delay.
-func serveHolder(t *testing.T, store connector.Store, delay time.Duration) (address string) {
+func serveHolder(t *testing.T, store connector.Store, delay time.Duration) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address = ln.Addr().String()
-	_ = ln.Close()
 	s := newService(t, store)
 	s.localHolder = func(identifier.Cell) (Holder, bool) { return nil, true }
-	rpc, err := messenger.Listen(address, func(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
+	rpc, err := messenger.Listen("127.0.0.1:0", func(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
 		time.Sleep(delay)
 		out, _, err := relayer.Serve(ctx, s.Grouping(store), method, params)
 		return out, err
@@ -48,7 +41,7 @@
 		_ = rpc.Run(ctx)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
-	return address
+	return rpc.Address()
 }
 
 // TestHolderAppendsForAllHosts plays a slow store, which takes appends one after the other, under
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -105,6 +105,9 @@
 	return &Server{listener: ln, handler: handler, batchHandler: o.batchHandler, door: o.door, logger: logger, peers: map[Peer]struct{}{}}, nil
 }
 
+// Address returns the address at which the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
 // Run serves until ctx ends, then closes all connections and returns nil. Otherwise it returns the
 // error of a failed accept.
 func (s *Server) Run(ctx context.Context) error {
--- a/internal/messenger/stream_test.go
+++ b/internal/messenger/stream_test.go
@@ -19,13 +19,7 @@
 // listen returns the address of a server that runs until the test ends.
 func listen(t *testing.T, handler Handler, opts ...Option) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := ln.Addr().String()
-	_ = ln.Close()
-	s, err := Listen(address, handler, zap.NewNop(), opts...)
+	s, err := Listen("127.0.0.1:0", handler, zap.NewNop(), opts...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,7 +30,7 @@
 		_ = s.Run(ctx)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
-	return address
+	return s.Address()
 }
 
 func echo(_ context.Context, _ Method, params json.RawMessage) (any, error) { return params, nil }
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -31,13 +31,7 @@
 // serveStore serves a store over JSON-RPC until the test ends and returns the address.
 func serveStore(t *testing.T, store connector.Store) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := ln.Addr().String()
-	_ = ln.Close()
-	rpc, err := messenger.Listen(address, func(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
+	rpc, err := messenger.Listen("127.0.0.1:0", func(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
 		out, _, err := relayer.Serve(ctx, store, method, params)
 		return out, err
 	}, zap.NewNop())
@@ -51,7 +45,7 @@
 		_ = rpc.Run(ctx)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
-	return address
+	return rpc.Address()
 }
 
 // callTimeout bounds one append of appendRecord.
--- a/internal/simulator/server_test.go
+++ b/internal/simulator/server_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -32,14 +31,8 @@
 // serve returns the address of a server with one worker.
 func serve(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := ln.Addr().String()
-	_ = ln.Close()
 	srv, _ := newServer("w")
-	rpc, err := messenger.Listen(address, srv.Handle, zap.NewNop())
+	rpc, err := messenger.Listen("127.0.0.1:0", srv.Handle, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -50,7 +43,7 @@
 		_ = rpc.Run(ctx)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
-	return address
+	return rpc.Address()
 }
 
 func rpcClient(t *testing.T) *messenger.Client {
