--- a/internal/commander/team.go
+++ b/internal/commander/team.go
@@ -19,11 +19,7 @@
 
 // Run lists the teams.
 func (c *teamListCommand) Run(s *session) error {
-	cl, err := s.newClient()
-	if err != nil {
-		return err
-	}
-	out, err := cl.Teams(s.ctx)
+	out, err := s.teams()
 	if err != nil {
 		return err
 	}
@@ -36,11 +32,7 @@
 
 // Run shows a team.
 func (c *teamShowCommand) Run(s *session) error {
-	cl, err := s.newClient()
-	if err != nil {
-		return err
-	}
-	out, err := cl.Teams(s.ctx)
+	out, err := s.teams()
 	if err != nil {
 		return err
 	}
@@ -57,6 +49,15 @@
 	})
 }
 
+// teams returns the reports of all teams.
+func (s *session) teams() (submitter.TeamReports, error) {
+	cl, err := s.newClient()
+	if err != nil {
+		return submitter.TeamReports{}, err
+	}
+	return cl.Teams(s.ctx)
+}
+
 func (s *session) printTeams(teams []submitter.TeamReport) {
 	rows := make([][]any, 0, len(teams))
 	for _, r := range teams {
