--- a/review/_rig/minion.go
+++ b/review/_rig/minion.go
@@ -168,7 +168,7 @@
 	})
 	mux.HandleFunc("GET /health", func(out http.ResponseWriter, _ *http.Request) { out.WriteHeader(http.StatusOK) })
 	l.srv = &http.Server{Handler: mux}
-	go func() { _ = l.srv.Serve(ln) }()
+	go func() { _ = l.srv.Serve(newQuiet(ln)) }()
 }
 
 // crash ends the life of a minion with all that runs on it.
--- a/review/_rig/store.go
+++ b/review/_rig/store.go
@@ -137,7 +137,7 @@
 	handle("POST /balsamcove/log-trim", func(w http.ResponseWriter, _ *http.Request, _ []byte) { reply(w, http.StatusOK, struct{}{}) })
 	handle("POST /balsamcove/log-commit", func(w http.ResponseWriter, _ *http.Request, _ []byte) { reply(w, http.StatusOK, struct{}{}) })
 	srv := &http.Server{Handler: mux}
-	go func() { _ = srv.Serve(ln) }()
+	go func() { _ = srv.Serve(newQuiet(ln)) }()
 	return ln.Addr().String()
 }
 
