--- a/review/12/run.sh
+++ b/review/14/run.sh
@@ -4,4 +4,4 @@
 for program in target/balsamcove target/review-3/rig; do
 	[ -x "$program" ] || { echo "$program isn't built" >&2; exit 2; }
 done
-exec target/review-3/rig -case roll -record review/12/record.txt
+exec target/review-3/rig -case roll -record review/14/record.txt
--- a/review/_rig/host.go
+++ b/review/_rig/host.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -56,7 +55,7 @@
 visible_ms = 3000
 early_ms = 250
 finish_s = 14
-status_s = 120
+status_s = %[10]d
 remoteFactor = 2
 checkpointIntervalS = 1
 restoreMs = 100
@@ -83,6 +82,9 @@
 
 var program = "target/balsamcove"
 
+// statusS is how long the state of an ended submission is kept, in seconds.
+var statusS = 120
+
 // dir is the temporary folder of the case.
 var dir string
 
@@ -91,12 +93,12 @@
 	p := freePorts(5)
 	h := &host{name: name, j: j, front: fmt.Sprintf("127.0.0.1:%d", p+3), ready: fmt.Sprintf("127.0.0.1:%d", p+4)}
 	h.settings, h.log = filepath.Join(dir, name+".toml"), filepath.Join(dir, name+".log")
-	text := fmt.Sprintf(settingsText, name, zone, p, p+2, p+3, p+4, s.serve(name), "0.4", advice)
+	text := fmt.Sprintf(settingsText, name, zone, p, p+2, p+3, p+4, s.serve(name), "0.4", advice, statusS)
 	check(os.WriteFile(h.settings, []byte(text), 0o600))
 	return h
 }
 
-var nextPort = 12000 + os.Getpid()%900*16
+var nextPort = 12000 + os.Getpid()%280*64
 
 // freePorts returns the first of n free consecutive ports, below those of outgoing connections.
 func freePorts(n int) int {
@@ -170,11 +172,6 @@
 	}
 }
 
-func (h *host) kill() {
-	h.signal(syscall.SIGKILL)
-	<-h.ended
-}
-
 // awaitReady waits until the host says that it is ready.
 func (h *host) awaitReady() bool {
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
@@ -246,28 +243,3 @@
 	_ = json.Unmarshal([]byte(answer), &out)
 	return status, out.State
 }
-
-// cancel cancels a submission.
-func (q queue) cancel(j *judge, hosts []*host, s *submission) bool {
-	for i := range 6 {
-		h := hosts[i%len(hosts)]
-		status, _, err := call(http.MethodDelete, h.front, q.host, q.prefix+s.ID, nil, clientWait)
-		j.note("DELETE %s at %s: %d %v", s.ID, h.name, status, err)
-		if status/100 == 2 || status == http.StatusGone {
-			s.cancelled = time.Now()
-			return true
-		}
-	}
-	return false
-}
-
-// holderOf returns the host that holds the cell, or nil.
-func holderOf(s *store, hosts []*host) *host {
-	name := s.holder()
-	for _, h := range hosts {
-		if strings.Contains(name, h.name) {
-			return h
-		}
-	}
-	return nil
-}
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -4,9 +4,8 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"os"
-	"path/filepath"
+	"os/signal"
 	"syscall"
 	"time"
 )
@@ -53,6 +52,13 @@
 			panic("no such case")
 		}
 		defer r.endHosts()
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+		go func() {
+			<-stop
+			r.endHosts()
+			os.Exit(2)
+		}()
 		if ran := play(r, rand.New(rand.NewPCG(*seed, 7))); ran {
 			code = r.j.finish()
 		}
@@ -152,26 +158,3 @@
 		r.w.add(fmt.Sprintf("i-%08x", 0x7f3a91c0+i), service, zones[i%3], fmt.Sprintf("r1-%d", 1+i/3), []string{"a"}, c)
 	}
 }
-
-func (r *rig) sleep(d time.Duration) { time.Sleep(d) }
-
-func init() {
-	cases["calm"] = func(r *rig, _ *rand.Rand) bool {
-		r.minions(6, size{16000, 64000, 0})
-		if !r.begin(3, "") {
-			return false
-		}
-		g := r.sub("ms=800", step{Count: 5, CPU: 2000, Mem: 2000, EstimateMS: 800, Gang: true})
-		r.q.submit(r.j, r.hosts, g, 3)
-		t := r.sub("ms=300", step{Count: 3, CPU: 2000, Mem: 2000, EstimateMS: 300}, step{Count: 2, CPU: 1000, Mem: 100, EstimateMS: 300, After: []int{0}})
-		t.FirstRunMS, t.PeriodMS, t.RepeatCount = time.Now().UnixMilli()+1000, 700, 5
-		r.q.submit(r.j, r.hosts, t, 3)
-		ok := r.awaitState(g, "completed", 10*time.Second)
-		ok = r.awaitState(t, "completed", 15*time.Second) && ok
-		status, answer, _ := call(http.MethodGet, r.hosts[0].front, r.q.host, r.q.prefix, nil, time.Second)
-		r.j.note("%d %s", status, answer)
-		return ok
-	}
-}
-
-var _ = filepath.Join
--- a/review/_rig/minion.go
+++ b/review/_rig/minion.go
@@ -33,25 +33,11 @@
 	GPU int64 `json:"gpu"`
 }
 
-// orderFault says how a minion treats an order.
-type orderFault int
-
-const (
-	orderServed orderFault = iota
-	// orderUnanswered is carried out and never answered.
-	orderUnanswered
-	// orderDropped is neither carried out nor answered.
-	orderDropped
-	// orderLate is carried out seconds later and never answered.
-	orderLate
-)
-
 type taskRun struct {
 	task      string
 	run       int64
 	spec      string
 	began     time.Time
-	worked    time.Duration
 	workSince time.Time // zero while the run does not work
 	timer     *time.Timer
 	stopping  bool
@@ -94,8 +80,6 @@
 	seq      int
 	reports  bool
 	life     *life
-	fault    func(path string, task string) orderFault
-	odd      *mutator
 }
 
 // world is what the minions of a case share.
@@ -156,19 +140,10 @@
 	l := &life{born: time.Now(), runs: map[string]*taskRun{}, top: map[string]int64{}, changed: make(chan struct{}), ln: ln}
 	m.life = l
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /balsamcove/", func(out http.ResponseWriter, r *http.Request) {
-		m.w.mu.Lock()
-		odd := m.odd
-		m.w.mu.Unlock()
-		if odd == nil {
-			m.serve(l, out, r)
-			return
-		}
-		odd.wrap(func(out http.ResponseWriter, r *http.Request) { m.serve(l, out, r) })(out, r)
-	})
+	mux.HandleFunc("POST /balsamcove/", func(out http.ResponseWriter, r *http.Request) { m.serve(l, out, r) })
 	mux.HandleFunc("GET /health", func(out http.ResponseWriter, _ *http.Request) { out.WriteHeader(http.StatusOK) })
 	l.srv = &http.Server{Handler: mux}
-	go func() { _ = l.srv.Serve(newQuiet(ln)) }()
+	go func() { _ = l.srv.Serve(ln) }()
 }
 
 // crash ends the life of a minion with all that runs on it.
@@ -188,18 +163,6 @@
 	_ = l.srv.Close()
 }
 
-// restart begins another life of a minion that has crashed. It reports after a delay.
-func (m *minion) restart(c size, reportAfter time.Duration) {
-	m.w.mu.Lock()
-	m.capacity = c
-	m.boot()
-	m.w.mu.Unlock()
-	go func() {
-		time.Sleep(reportAfter)
-		m.report()
-	}()
-}
-
 // report writes the minion's entry in the store.
 func (m *minion) report() {
 	m.w.mu.Lock()
@@ -215,14 +178,7 @@
 	if m.state == "draining" {
 		entry["remainingMs"] = 4000
 	}
-	odd := m.odd
 	m.w.mu.Unlock()
-	if odd != nil {
-		data, err := json.Marshal(entry)
-		check(err)
-		m.w.store.putText("servers", m.id, odd.text(data))
-		return
-	}
 	m.w.store.put("servers", m.id, entry)
 }
 
@@ -247,48 +203,6 @@
 		return
 	}
 	path := strings.TrimPrefix(r.URL.Path, "/balsamcove/")
-	m.w.mu.Lock()
-	fault := orderServed
-	if m.fault != nil {
-		fault = m.fault(path, in.Task)
-	}
-	m.w.mu.Unlock()
-	if fault == orderDropped {
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
-	if fault == orderUnanswered {
-		out = &discard{header: http.Header{}}
-		defer func() {
-			<-r.Context().Done()
-			panic(http.ErrAbortHandler)
-		}()
-	}
-	if fault == orderLate {
-		m.w.mu.Lock()
-		late := 2*time.Second + time.Duration(m.w.rand.Int64N(int64(10*time.Second)))
-		m.w.mu.Unlock()
-		time.AfterFunc(late, func() {
-			m.w.mu.Lock()
-			defer m.w.mu.Unlock()
-			if m.life != l || in.FencingToken < l.fence {
-				return
-			}
-			l.fence = in.FencingToken
-			switch path {
-			case "run-start":
-				m.w.j.note("late order on %s: %s", m.id, in.Task)
-				m.start(l, in)
-			case "run-stop":
-				m.stop(l, in)
-			case "hold":
-				l.extend(in.DeadlineMS)
-				m.forget(l, in.AckedUpto)
-			}
-		})
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
 	if id := r.Header.Get("X-Balsamcove-Expected-Instance"); id != "" && id != m.id {
 		m.answer(l, out, 421, nil)
 		return
--- a/review/_rig/store.go
+++ b/review/_rig/store.go
@@ -71,23 +71,11 @@
 	owners     map[string]map[int]*owned
 }
 
-// storeFault says how the store treats a call.
-type storeFault int
-
-const (
-	storeServes storeFault = iota
-	storeBusy
-	storeSilent
-	storeLosesAnswer
-)
-
 // store is the platform's metadata store.
 type store struct {
 	mu     sync.Mutex
 	parts  map[string]*partition
 	groups map[string]*group
-	// fault returns how a call of a host is treated; nil serves all.
-	fault func(host, path string) storeFault
 }
 
 func newStore() *store {
@@ -105,25 +93,6 @@
 			if err != nil {
 				return
 			}
-			s.mu.Lock()
-			fault := s.fault
-			s.mu.Unlock()
-			f := storeServes
-			if fault != nil {
-				f = fault(host, r.URL.Path)
-			}
-			switch f {
-			case storeBusy:
-				reply(w, http.StatusServiceUnavailable, struct{}{})
-				return
-			case storeSilent:
-				<-r.Context().Done()
-				panic(http.ErrAbortHandler)
-			case storeLosesAnswer:
-				h(&discard{header: http.Header{}}, r, body)
-				<-r.Context().Done()
-				panic(http.ErrAbortHandler)
-			}
 			time.Sleep(storeLatency)
 			h(w, r, body)
 		})
@@ -137,16 +106,10 @@
 	handle("POST /balsamcove/log-trim", func(w http.ResponseWriter, _ *http.Request, _ []byte) { reply(w, http.StatusOK, struct{}{}) })
 	handle("POST /balsamcove/log-commit", func(w http.ResponseWriter, _ *http.Request, _ []byte) { reply(w, http.StatusOK, struct{}{}) })
 	srv := &http.Server{Handler: mux}
-	go func() { _ = srv.Serve(newQuiet(ln)) }()
+	go func() { _ = srv.Serve(ln) }()
 	return ln.Addr().String()
 }
 
-type discard struct{ header http.Header }
-
-func (d *discard) Header() http.Header         { return d.header }
-func (d *discard) Write(b []byte) (int, error) { return len(b), nil }
-func (d *discard) WriteHeader(int)             {}
-
 func reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	data, err := json.Marshal(body)
@@ -156,12 +119,6 @@
 	_, _ = w.Write(data)
 }
 
-func (s *store) setFault(f func(host, path string) storeFault) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fault = f
-}
-
 func (s *store) part(topic string, n int) *partition {
 	key := topic + "/" + strconv.Itoa(n)
 	p, ok := s.parts[key]
@@ -197,10 +154,6 @@
 		data, err = json.Marshal(value)
 		check(err)
 	}
-	s.putText(topic, key, data)
-}
-
-func (s *store) putText(topic, key string, data []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.part("keyed."+topic, 0)
@@ -498,7 +451,7 @@
 	reply(w, http.StatusOK, map[string]any{"parts": rows})
 }
 
-// holder returns the member that holds partition 0 of the group of holders; "" if there is none.
+// holder returns the member that owns the first partition of the group of holders, or "".
 func (s *store) holder() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/_rig/wide.go
+++ b/review/_rig/wide.go
@@ -75,30 +75,7 @@
 }
 
 func init() {
-	cases["timed"] = func(r *rig, _ *rand.Rand) bool {
-		r.minions(6, size{16000, 64000, 0})
-		if !r.begin(3, "") {
-			return false
-		}
-		for i := range 60 {
-			s := r.sub("ms=100", step{Count: 1, CPU: 1000, Mem: 500, EstimateMS: 100})
-			s.FirstRunMS, s.PeriodMS, s.RepeatCount = time.Now().UnixMilli()-9000*1000, 1000, 10000
-			r.q.submit(r.j, r.hosts, s, 1)
-			time.Sleep(100 * time.Millisecond)
-			if i%5 == 0 {
-				for _, h := range r.hosts {
-					r.j.note("%d: %s has %d MB", i, h.name, h.memory())
-				}
-			}
-		}
-		for range 20 {
-			time.Sleep(time.Second)
-			for _, h := range r.hosts {
-				r.j.note("%s has %d MB", h.name, h.memory())
-			}
-		}
-		return true
-	}
+	// Submissions that can never be done, until the holder has no memory for them.
 	cases["wide"] = func(r *rig, _ *rand.Rand) bool {
 		r.minions(6, size{16000, 64000, 0})
 		if !r.begin(3, "") {
