Review: IDs end in a letter, so that no task name looks like an address

The stand-in had IDs that end in digits, so that a task's name in a record (ID.K.STEP.INDEX) read like an address.

--- a/review/_rig/cells.go
+++ b/review/_rig/cells.go
@@ -19,7 +19,7 @@
 // idIn changes the ID of a submission until it belongs to a cell of two.
 func (r *rig) idIn(cell identifier.Cell, s *submission) *submission {
 	for n := 0; identifier.CellOf(identifier.Job(s.ID), 2) != cell; n++ {
-		s.ID = fmt.Sprintf("5c0e7a21d9%06x", n)
+		s.ID = fmt.Sprintf("5c0e7a21d9%05xf", n)
 	}
 	return s
 }
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -129,11 +129,12 @@
 	return r.awaitState(s, "completed", 10*time.Second)
 }
 
+// subCount numbers the submissions. Their IDs end in a letter, so that no task name looks like an address.
 var subCount int
 
 func (r *rig) sub(spec string, steps ...step) *submission {
 	subCount++
-	return &submission{ID: fmt.Sprintf("5c0e7a21d94b%04x", subCount), Spec: spec, Steps: steps}
+	return &submission{ID: fmt.Sprintf("5c0e7a21d94b%03xf", subCount), Spec: spec, Steps: steps}
 }
 
 // awaitState waits until a submission is shown in a state.
