Log submissions that are stored under another key than the known job's

The line says which key was stored and whether it is the same job but for its queue's name; the decision is counted as resubmitted.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -12,6 +12,7 @@
 package planner
 
 import (
+	"reflect"
 	"time"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
@@ -20,6 +21,7 @@
 	"github.com/balsamcove/balsamcove/internal/profiler"
 	"github.com/balsamcove/balsamcove/internal/renewer"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
+	"github.com/balsamcove/balsamcove/pkg/submitter"
 )
 
 const (
@@ -349,7 +351,10 @@
 // submit adds a job, unless it is known already, and makes its first tasks ready. The occurrences
 // of a scheduled job follow once they are due.
 func (p *Planner) submit(e JobSubmitted) {
-	if _, known := p.jobs[e.Job.ID]; known {
+	if j, known := p.jobs[e.Job.ID]; known {
+		if e.Key != j.key {
+			p.log.JobResubmitted(e.Job.ID, e.Job.Queue, e.Key, sameJob(j.def, e.Job))
+		}
 		return
 	}
 	j := &job{
@@ -373,6 +378,12 @@
 	p.unblockTasks(j, 0)
 }
 
+// sameJob reports whether two jobs are the same but for the names of their queues.
+func sameJob(a, b submitter.Job) bool {
+	a.Queue = b.Queue
+	return reflect.DeepEqual(a, b)
+}
+
 // cancelJob ends a job. A cancellation that arrives before its job is applied to it later.
 func (p *Planner) cancelJob(e JobCancelled) {
 	p.cancelled[e.ID] = e.At
--- a/internal/supervisor/log.go
+++ b/internal/supervisor/log.go
@@ -38,6 +38,13 @@
 	l.logger.Info("job starts", zap.String("request", string(id)), zap.String("queue", string(queue)), zap.Duration("waitedMs", waited))
 }
 
+// JobResubmitted logs and counts a submission of a known job under another key.
+func (l PlannerLog) JobResubmitted(id identifier.Job, queue identifier.Queue, key string, same bool) {
+	l.meter.CountDecision("resubmitted")
+	l.logger.Info("job is stored under another key", zap.String("request", string(id)), zap.String("queue", string(queue)),
+		zap.String("key", key), zap.Bool("sameJob", same))
+}
+
 // JobEnded logs and counts the end of a job. Early is how long before its objective, the time by
 // which it should end, that was; it is negative for a late job.
 func (l PlannerLog) JobEnded(id identifier.Job, queue identifier.Queue, state planner.JobState, took, early time.Duration) {
