Jobs are known by their ID, whatever keys their submissions are stored under

Cause: the inbox key of a submission has a hash of the encoded job, and so of the name of its queue and of the release that encodes it. A repeated request was stored under a second key, ignored by the holder, and never deleted. Once the job was forgotten, the second record was a new job to the next holder. Evidence: the line 'job is stored under another key' for each of the eight repeats of the case ('same job'), and the next holder's 'term begins' with jobs 8, runs 0. A different job under a known ID takes the same way, and could after a takeover replace the definition of a job that was running.

A later holder takes that submission for the job, not the one with the lowest offset. Further submissions with the ID are deleted as soon as that record is stored, not before: a deletion that the store carries out late can then take nothing that a later holder relies on. All keys go with the job, and what is still unread while a job is being deleted is deleted as well. Grants that are of no use are deleted the same way, and again after a failure. The key stays as it is, so that hosts of both releases store a job once.

Not decidable: a record that an earlier release has left of a job that it has forgotten looks like a job that has not started. It runs, and is named in the log.

--- a/internal/dispatcher/effect.go
+++ b/internal/dispatcher/effect.go
@@ -48,8 +48,8 @@
 		t.runInPool(func() { t.askForRoom(ctx, c) }, c)
 	case planner.SendGrants:
 		t.runInPool(func() { t.sendGrants(ctx, c) }, c)
-	case planner.DeleteGrants:
-		t.runInPool(func() { t.deleteGrants(ctx, c) }, c)
+	case planner.DiscardRecords:
+		t.runInPool(func() { t.discardRecords(ctx, c) }, c)
 	case planner.StepDown:
 		return errors.Mark(errors.Newf("step down: %s", c.Reason), ErrSuperseded)
 	}
@@ -91,9 +91,11 @@
 		t.Notify(planner.AdviceAnswered{Call: c.Call, Step: c.Step, Workers: c.Workers, Err: err})
 	case planner.DeleteSubmissions:
 		t.Notify(planner.SubmissionsDeleted{Jobs: c.Jobs, Err: err})
+	case planner.DiscardRecords:
+		t.Notify(planner.RecordsDiscarded{Records: c.Records, Err: err})
 	case planner.SendGrants:
 		t.Notify(planner.GrantsSent{Grants: c.Grants, Err: err})
-	case planner.CancelAdvice, planner.RequestRoom, planner.DeleteGrants, planner.StepDown:
+	case planner.CancelAdvice, planner.RequestRoom, planner.StepDown:
 	}
 }
 
--- a/internal/dispatcher/lender.go
+++ b/internal/dispatcher/lender.go
@@ -48,17 +48,6 @@
 	t.Notify(planner.GrantsSent{Grants: c.Grants, Err: err})
 }
 
-// deleteGrants deletes grants from the inbox of this cell.
-func (t *Term) deleteGrants(ctx context.Context, c planner.DeleteGrants) {
-	records := make([]connector.KeyedRecord, len(c.Keys))
-	for i, key := range c.Keys {
-		records[i].Key = key
-	}
-	if err := t.appendInbox(ctx, t.cell, records); err != nil {
-		t.logger.Warn("grants of borrowed workers not deleted", zap.Int("workers", len(c.Keys)), logger.Err(err))
-	}
-}
-
 // appendInbox makes one attempt to append records to the inbox of a cell.
 func (t *Term) appendInbox(ctx context.Context, cell identifier.Cell, records []connector.KeyedRecord) error {
 	ctx, cancel := context.WithTimeout(ctx, connector.SharedAppendTimeout)
--- a/internal/dispatcher/saver.go
+++ b/internal/dispatcher/saver.go
@@ -217,7 +217,7 @@
 func (t *Term) deleteSubmissions(ctx context.Context, c planner.DeleteSubmissions) {
 	var records []connector.KeyedRecord
 	for _, r := range c.Jobs {
-		records = append(records, intake.Deletions(r.ID, r.Key)...)
+		records = append(records, intake.Deletions(r.ID, r.Keys)...)
 	}
 	err := t.appendInbox(ctx, t.cell, records)
 	if err != nil {
@@ -226,6 +226,19 @@
 	t.Notify(planner.SubmissionsDeleted{Jobs: c.Jobs, Err: err})
 }
 
+// discardRecords deletes records of the inbox that are of no use any more, and reports that to the planner.
+func (t *Term) discardRecords(ctx context.Context, c planner.DiscardRecords) {
+	records := make([]connector.KeyedRecord, len(c.Records))
+	for i, r := range c.Records {
+		records[i].Key = r.Key
+	}
+	err := t.appendInbox(ctx, t.cell, records)
+	if err != nil {
+		t.logger.Warn("inbox records of no use not deleted", zap.Int("records", len(records)), logger.Err(err))
+	}
+	t.Notify(planner.RecordsDiscarded{Records: c.Records, Err: err})
+}
+
 // handOverTimeout bounds the appends at the end of a term, since the next term waits for them.
 const handOverTimeout = 500 * time.Millisecond
 
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -64,6 +64,7 @@
 		return err
 	}
 	titles, health, jobs, estimates, events := t.decodeTitles(work), t.decodeHealth(work), t.decodeJobs(work), t.decodeEstimates(work), t.inboxEvents(inbox)
+	putDefiningFirst(events, jobs)
 	// All clocks of the takeover derive from this reading. Decoding may take long, and comes before.
 	now := time.Now()
 	epoch := t.writer.Epoch
@@ -75,6 +76,7 @@
 		opts = append(opts, planner.WithLog(t.decisions))
 	}
 	p := planner.New(epoch, now, t.settings.Planner, opts...)
+	t.logUnrecorded(events, jobs)
 	p.Inform(now, planner.TitlesRestored{Records: titles})
 	p.Inform(now, append(events, planner.HealthRestored{Records: health}, planner.JobsRestored{Records: jobs},
 		planner.EstimatesRestored{Records: estimates})...)
@@ -219,6 +221,62 @@
 	return nil, 0, errors.Wrap(ctx.Err(), "take over")
 }
 
+// putDefiningFirst exchanges the first submission of each job with the one that defines it, if the record of
+// the job names another one than the first.
+func putDefiningFirst(events []planner.Event, records []planner.JobRecord) {
+	byID := make(map[identifier.Job]planner.JobRecord, len(records))
+	for _, r := range records {
+		byID[r.ID] = r
+	}
+	first := map[identifier.Job]int{}
+	for i, e := range events {
+		s, ok := e.(planner.JobSubmitted)
+		if !ok {
+			continue
+		}
+		at, repeated := first[s.Job.ID]
+		if !repeated {
+			first[s.Job.ID] = i
+		} else if byID[s.Job.ID].Defines(s.Key) {
+			events[at], events[i] = events[i], events[at]
+		}
+	}
+}
+
+// maxUnrecordedLogged bounds the job IDs in the log line of logUnrecorded.
+const maxUnrecordedLogged = 20
+
+// logUnrecorded logs the submissions that have no record of their job although they were accepted longer ago
+// than ended jobs are kept. They are jobs that have not started yet, or repeats of forgotten jobs that an
+// earlier release has left in the inbox; the store does not tell these apart.
+func (t *Term) logUnrecorded(events []planner.Event, records []planner.JobRecord) {
+	if t.settings.Planner.Retention <= 0 {
+		return
+	}
+	recorded := make(map[identifier.Job]struct{}, len(records))
+	for _, r := range records {
+		recorded[r.ID] = struct{}{}
+	}
+	limit := identifier.UnixMillis(time.Now().Add(-t.settings.Planner.Retention).UnixMilli())
+	n := 0
+	var ids []string
+	for _, e := range events {
+		s, ok := e.(planner.JobSubmitted)
+		if !ok || s.At >= limit {
+			continue
+		}
+		if _, ok := recorded[s.Job.ID]; ok {
+			continue
+		}
+		if n++; len(ids) < maxUnrecordedLogged {
+			ids = append(ids, string(s.Job.ID))
+		}
+	}
+	if n > 0 {
+		t.logger.Warn("old submissions without a job record", zap.Int("submissions", n), zap.Strings("requests", ids))
+	}
+}
+
 // decodeEstimates decodes the estimates of interference. If they cannot be decoded, that is logged
 // and they are learned again.
 func (t *Term) decodeEstimates(records []connector.KeyedRecord) []estimator.Record {
--- a/internal/intake/record.go
+++ b/internal/intake/record.go
@@ -59,7 +59,9 @@
 )
 
 // EncodeSubmission returns the inbox record of a submission. The key contains a hash of the job,
-// so that a different job with the same ID does not replace it.
+// so that a different job with the same ID does not replace it. Submissions of one job may have
+// different keys: the hash depends on the release and on the name of the queue. The planner knows
+// jobs by their ID and deletes all their submissions.
 func EncodeSubmission(s Submission) (connector.KeyedRecord, error) {
 	job, err := cbor.Marshal(s.Job)
 	if err != nil {
@@ -92,12 +94,11 @@
 	return connector.KeyedRecord{Key: grantPrefix + string(g.Worker) + keySeparator + strconv.FormatUint(uint64(g.Base), hexBase), Value: value}, nil
 }
 
-// Deletions returns the records that delete a job's cancellation and, unless submissionKey is
-// empty, its submission.
-func Deletions(id identifier.Job, submissionKey string) []connector.KeyedRecord {
+// Deletions returns the records that delete a job's cancellation and its submissions.
+func Deletions(id identifier.Job, submissionKeys []string) []connector.KeyedRecord {
 	out := []connector.KeyedRecord{{Key: cancellationPrefix + string(id)}}
-	if submissionKey != "" {
-		out = append(out, connector.KeyedRecord{Key: submissionKey})
+	for _, key := range submissionKeys {
+		out = append(out, connector.KeyedRecord{Key: key})
 	}
 	return out
 }
--- a/internal/planner/command.go
+++ b/internal/planner/command.go
@@ -57,9 +57,8 @@
 		To     identifier.Cell
 		Grants []Grant
 	}
-	// DeleteGrants deletes grants from the inbox of this cell. It needs no answer: those that stay are
-	// deleted by a later holder.
-	DeleteGrants struct{ Keys []string }
+	// DiscardRecords deletes records from the inbox of this cell.
+	DiscardRecords struct{ Records []Discard }
 	// StepDown gives up the cell, since another holder has taken over.
 	StepDown struct{ Reason string }
 )
@@ -73,5 +72,5 @@
 func (DeleteSubmissions) command() {}
 func (RequestRoom) command()       {}
 func (SendGrants) command()        {}
-func (DeleteGrants) command()      {}
+func (DiscardRecords) command()    {}
 func (StepDown) command()          {}
--- a/internal/planner/event.go
+++ b/internal/planner/event.go
@@ -19,8 +19,7 @@
 	JobSubmitted struct {
 		Job   submitter.Job
 		Queue connector.QueueConfig
-		// Key is the key of the job's stored submission, by which it is deleted once the job is
-		// retired.
+		// Key is the key of the stored submission, by which it is deleted.
 		Key string
 		// At is when the job was accepted, by the clock of the host that accepted it.
 		At identifier.UnixMillis
@@ -89,6 +88,11 @@
 		Jobs []Retired
 		Err  error
 	}
+	// RecordsDiscarded reports that a DiscardRecords was carried out, or its error.
+	RecordsDiscarded struct {
+		Records []Discard
+		Err     error
+	}
 	// TitlesRestored brings the owners of lent workers as saved by an earlier holder. It precedes
 	// everything else.
 	TitlesRestored struct{ Records []TitleRecord }
@@ -127,6 +131,7 @@
 func (PaceAnswered) event()       {}
 func (AdviceAnswered) event()     {}
 func (SubmissionsDeleted) event() {}
+func (RecordsDiscarded) event()   {}
 func (TitlesRestored) event()     {}
 func (WorkerGranted) event()      {}
 func (GrantsSent) event()         {}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -108,9 +108,15 @@
 
 // job is a submitted job with the state of its tasks.
 type job struct {
-	def   submitter.Job
-	key   string
-	queue connector.QueueConfig
+	def submitter.Job
+	// key is the key of the submission that defines the job, keyHash its hash, and keyStored is set once
+	// that is in the stored record of the job. otherKeys are those of other submissions with its ID, which
+	// are being deleted, and whether they were stored again meanwhile.
+	key       string
+	keyHash   uint64
+	keyStored bool
+	otherKeys map[string]bool
+	queue     connector.QueueConfig
 	// configVersion is the version of the configuration by which the job was accepted; zero if unknown.
 	configVersion identifier.ConfigVersion
 	// team is the team that submitted the job, or teams.none.
--- a/internal/planner/lender_test.go
+++ b/internal/planner/lender_test.go
@@ -286,13 +286,13 @@
 				}
 				return func(err error) { tell(GrantsSent{command.Grants, err}) }
 			}, func(err error) { tell(GrantsSent{command.Grants, err}) })
-		case DeleteGrants:
+		case DiscardRecords:
 			b.send(cell, "delete", func() func(error) {
-				for _, key := range command.Keys {
-					delete(c.inbox, key)
+				for _, r := range command.Records {
+					delete(c.inbox, r.Key)
 				}
-				return func(error) {}
-			}, func(error) {})
+				return func(err error) { tell(RecordsDiscarded{command.Records, err}) }
+			}, func(err error) { tell(RecordsDiscarded{command.Records, err}) })
 		case StepDown:
 			b.fail("cell %d steps down: %s", cell, command.Reason)
 		}
--- a/internal/planner/log.go
+++ b/internal/planner/log.go
@@ -39,9 +39,8 @@
 	// JobStarted reports that a worker has begun the first task of a job, and for how long the job had
 	// waited since its submission.
 	JobStarted(id identifier.Job, queue identifier.Queue, waited time.Duration)
-	// JobResubmitted reports a submission of a known job that is stored under another key than the one by
-	// which the job is known. Same is set if it has the same job but for the name of the queue.
-	JobResubmitted(id identifier.Job, queue identifier.Queue, key string, same bool)
+	// JobResubmitted reports a submission with the ID of a known job that is stored under another key.
+	JobResubmitted(id identifier.Job, queue identifier.Queue, key string, kind Resubmission)
 	// JobEnded reports the end of a job, took after its submission and early before its objective;
 	// early is negative for a late job.
 	JobEnded(id identifier.Job, queue identifier.Queue, state JobState, took, early time.Duration)
@@ -98,7 +97,7 @@
 
 func (noLog) JobStarted(identifier.Job, identifier.Queue, time.Duration) {}
 
-func (noLog) JobResubmitted(identifier.Job, identifier.Queue, string, bool) {}
+func (noLog) JobResubmitted(identifier.Job, identifier.Queue, string, Resubmission) {}
 
 func (noLog) JobEnded(identifier.Job, identifier.Queue, JobState, time.Duration, time.Duration) {}
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -12,7 +12,6 @@
 package planner
 
 import (
-	"reflect"
 	"time"
 
 	"github.com/balsamcove/balsamcove/internal/connector"
@@ -21,7 +20,6 @@
 	"github.com/balsamcove/balsamcove/internal/profiler"
 	"github.com/balsamcove/balsamcove/internal/renewer"
 	"github.com/balsamcove/balsamcove/pkg/identifier"
-	"github.com/balsamcove/balsamcove/pkg/submitter"
 )
 
 const (
@@ -165,8 +163,10 @@
 	// for it: claims to be started and ends to be acknowledged to their workers.
 	dirtyJobs map[*job]struct{}
 	newClaims []*run
-	// retirements are the jobs whose stored records are to be deleted.
+	// retirements are the jobs whose stored records are to be deleted, discards other records of the
+	// inbox that are of no use any more.
 	retirements retirements
+	discards    deletions[Discard]
 	// round is the set of changes being stored, in one batch or several.
 	round saveRound
 	// unsentClaims counts the claims whose starts are not sent. heldClaims are those of them that
@@ -296,6 +296,7 @@
 	p.expireSilentWorkers()
 	p.scanOverdue()
 	p.retire()
+	p.discardRecords()
 	p.reviewAdvice()
 	p.adviceWanted = false
 	p.adviceLine.withdraw(p.asker)
@@ -341,6 +342,8 @@
 		p.adviceAnswered(e)
 	case SubmissionsDeleted:
 		p.submissionsDeleted(e)
+	case RecordsDiscarded:
+		p.recordsDiscarded(e)
 	default:
 		p.applyLending(e)
 	}
@@ -352,14 +355,15 @@
 // of a scheduled job follow once they are due.
 func (p *Planner) submit(e JobSubmitted) {
 	if j, known := p.jobs[e.Job.ID]; known {
-		if e.Key != j.key {
-			p.log.JobResubmitted(e.Job.ID, e.Job.Queue, e.Key, sameJob(j.def, e.Job))
-		}
+		p.resubmitted(j, e)
+		return
+	}
+	if p.resubmittedForgotten(e) {
 		return
 	}
 	j := &job{
 		def: e.Job, queue: e.Queue, queueSubmitted: e.Queue.Name != "", submitted: p.now, occurrences: map[int][]*taskGroup{},
-		state: StateQueued, visibleState: StateQueued, key: e.Key, configVersion: e.ConfigVersion, team: p.teamOf(e.Team),
+		state: StateQueued, visibleState: StateQueued, key: e.Key, keyHash: hashKey(e.Key), configVersion: e.ConfigVersion, team: p.teamOf(e.Team),
 	}
 	j.rank = j.team.countSubmission(e.At)
 	p.updateQueue(j)
@@ -378,12 +382,6 @@
 	p.unblockTasks(j, 0)
 }
 
-// sameJob reports whether two jobs are the same but for the names of their queues.
-func sameJob(a, b submitter.Job) bool {
-	a.Queue = b.Queue
-	return reflect.DeepEqual(a, b)
-}
-
 // cancelJob ends a job. A cancellation that arrives before its job is applied to it later.
 func (p *Planner) cancelJob(e JobCancelled) {
 	p.cancelled[e.ID] = e.At
--- a/internal/planner/retirer.go
+++ b/internal/planner/retirer.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/balsamcove/balsamcove/pkg/identifier"
@@ -11,19 +13,13 @@
 	retirePeriod = 5 * time.Second
 	// retentionMargin is added to Settings.Retention, for which ended jobs are kept.
 	retentionMargin = 10 * time.Second
-	// maxDeletions bounds the submissions that one command deletes, and the job records that one
-	// batch deletes.
-	maxDeletions = 1000
-	// firstDeletionPause is the pause after a failed deletion of submissions; it doubles with every
-	// failure in a row, up to retirePeriod.
-	firstDeletionPause = 250 * time.Millisecond
 )
 
 // Retired is a job whose stored records are to be deleted.
 type Retired struct {
 	ID identifier.Job
-	// Key is the key of its submission in the store.
-	Key string
+	// Keys are the keys of its submissions in the store.
+	Keys []string
 }
 
 // retirements are the jobs whose stored records are to be deleted: first their submissions, then
@@ -31,14 +27,12 @@
 type retirements struct {
 	searchedAt time.Time
 	// submissions are the jobs whose submissions are to be deleted next.
-	submissions []Retired
-	// inFlight is set while a DeleteSubmissions command is being carried out. After failures of
-	// them in a row, the next one is not sent before notBefore.
-	inFlight  bool
-	failures  int
-	notBefore time.Time
+	submissions deletions[Retired]
 	// records are the jobs whose submissions are deleted.
 	records []identifier.Job
+	// forgotten are the jobs whose submissions are being deleted, and until when those that were deleted
+	// may still have one in the inbox.
+	forgotten map[identifier.Job]time.Time
 }
 
 // retire drops the jobs that ended longer ago than the retention, and has their records deleted.
@@ -48,6 +42,9 @@
 		return
 	}
 	p.retirements.searchedAt = p.now
+	maps.DeleteFunc(p.retirements.forgotten, func(_ identifier.Job, until time.Time) bool {
+		return !until.IsZero() && p.now.After(until)
+	})
 	p.dropFinishedOccurrences()
 	if p.settings.Retention <= 0 {
 		return
@@ -60,38 +57,36 @@
 		delete(p.cancelled, id)
 		delete(p.dirtyJobs, j)
 		delete(p.round.jobs, j)
-		p.retirements.submissions = append(p.retirements.submissions, Retired{id, j.key})
+		p.deleteJob(Retired{id, append(slices.Collect(maps.Keys(j.otherKeys)), j.key)})
 	}
 	p.deleteSubmissions()
 }
 
+// deleteJob has the submissions of a job deleted, and then its record.
+func (p *Planner) deleteJob(r Retired) {
+	p.retirements.submissions.add(r)
+	p.retirements.forget(r.ID, time.Time{})
+}
+
 // deleteSubmissions has the next submissions deleted, unless a deletion is in flight or a failed one
 // is not to be repeated yet.
 func (p *Planner) deleteSubmissions() {
-	r := &p.retirements
-	if len(r.submissions) == 0 || r.inFlight || p.now.Before(r.notBefore) {
-		return
+	if jobs := p.retirements.submissions.take(p.now); len(jobs) > 0 {
+		p.emit(DeleteSubmissions{Jobs: jobs})
 	}
-	r.inFlight = true
-	n := min(len(r.submissions), maxDeletions)
-	p.emit(DeleteSubmissions{Jobs: r.submissions[:n:n]})
-	r.submissions = r.submissions[n:]
 }
 
 // submissionsDeleted has the job records of deleted submissions deleted with the next batch, or the
 // deletion repeated if it failed.
 func (p *Planner) submissionsDeleted(e SubmissionsDeleted) {
 	r := &p.retirements
-	r.inFlight = false
+	r.submissions.answered(p.now, e.Jobs, e.Err)
 	if e.Err != nil {
-		r.submissions = append(r.submissions, e.Jobs...)
-		r.notBefore = p.now.Add(min(firstDeletionPause<<min(r.failures, 16), retirePeriod))
-		r.failures++
 		return
 	}
-	r.failures = 0
 	for _, j := range e.Jobs {
 		r.records = append(r.records, j.ID)
+		r.forget(j.ID, p.now.Add(lateRecordPeriod))
 	}
 }
 
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -42,6 +42,9 @@
 	Begun bool `cbor:"11,keyasint,omitempty"`
 	// NotBegun are the serving and long-running tasks of Tasks that no worker has begun.
 	NotBegun []TaskPosition `cbor:"12,keyasint,omitempty"`
+	// Submission is the hash of the key of the submission that defines the job. It is missing in records of
+	// releases that did not store it.
+	Submission uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // TaskPosition names a task of a job.
@@ -314,6 +317,7 @@
 	for _, r := range b.Records {
 		if j, ok := p.jobs[r.ID]; ok {
 			j.visibleState = r.State
+			p.submissionStored(j)
 		}
 	}
 	for w, last := range b.ends {
@@ -339,7 +343,7 @@
 
 // recordOf returns the record of a job as it has to be stored.
 func recordOf(j *job) JobRecord {
-	r := JobRecord{ID: j.def.ID, State: j.state, Accepted: identifier.UnixMillis(j.submitted.UnixMilli()), Begun: j.started}
+	r := JobRecord{ID: j.def.ID, State: j.state, Accepted: identifier.UnixMillis(j.submitted.UnixMilli()), Begun: j.started, Submission: j.keyHash}
 	if !j.queueSubmitted {
 		queue := j.queue
 		r.Queue = &queue
@@ -458,7 +462,7 @@
 		j, ok := p.jobs[rec.ID]
 		if !ok {
 			// An earlier holder has deleted the submission.
-			p.retirements.submissions = append(p.retirements.submissions, Retired{ID: rec.ID})
+			p.deleteJob(Retired{ID: rec.ID})
 			continue
 		}
 		p.restoreJob(j, rec)
@@ -472,6 +476,9 @@
 
 // restoreJob applies the record of a job to the job created from its submission.
 func (p *Planner) restoreJob(j *job, rec JobRecord) {
+	if rec.Defines(j.key) {
+		p.submissionStored(j)
+	}
 	if rec.Queue != nil && j.queue.Name == "" {
 		j.queue = *rec.Queue
 	}
--- a/internal/planner/title.go
+++ b/internal/planner/title.go
@@ -65,10 +65,8 @@
 	byWorker map[identifier.Worker]title
 	// dirty are the titles to be stored with the next batch.
 	dirty map[identifier.Worker]struct{}
-	// ungranted are the workers whose grant has to be stored in the inbox of their borrower, and
-	// obsolete the keys of grants in this cell's inbox that have served their purpose.
+	// ungranted are the workers whose grant has to be stored in the inbox of their borrower.
 	ungranted map[identifier.Worker]struct{}
-	obsolete  []string
 	// inFlight are the workers whose grants are being stored; after a failure the next ones are not
 	// stored before notBefore.
 	inFlight  map[identifier.Worker]struct{}
@@ -145,7 +143,7 @@
 	case known && t.Held && !t.stored && e.Base == t.Base:
 		return
 	case known && e.Base <= t.Base, known && t.Held:
-		p.titles.obsolete = append(p.titles.obsolete, e.Key)
+		p.discards.add(Discard{Key: e.Key})
 		return
 	}
 	delete(p.titles.ungranted, e.Worker)
@@ -191,7 +189,7 @@
 			p.titles.ungranted[r.Worker] = struct{}{}
 			continue
 		}
-		p.titles.obsolete = append(p.titles.obsolete, t.key)
+		p.discards.add(Discard{Key: t.key})
 		t.key = ""
 		p.titles.byWorker[r.Worker] = t
 		p.adopt(r.Worker, t)
@@ -212,13 +210,8 @@
 	}
 }
 
-// sendGrants has the grants of lent workers stored in the inboxes of their borrowers, and deletes those
-// in this cell's inbox that have served their purpose.
+// sendGrants has the grants of lent workers stored in the inboxes of their borrowers.
 func (p *Planner) sendGrants() {
-	if n := min(len(p.titles.obsolete), maxGrants); n > 0 {
-		p.emit(DeleteGrants{Keys: p.titles.obsolete[:n:n]})
-		p.titles.obsolete = p.titles.obsolete[n:]
-	}
 	if len(p.titles.ungranted) == 0 || p.now.Before(p.titles.notBefore) {
 		return
 	}
--- a/internal/supervisor/log.go
+++ b/internal/supervisor/log.go
@@ -38,11 +38,11 @@
 	l.logger.Info("job starts", zap.String("request", string(id)), zap.String("queue", string(queue)), zap.Duration("waitedMs", waited))
 }
 
-// JobResubmitted logs and counts a submission of a known job under another key.
-func (l PlannerLog) JobResubmitted(id identifier.Job, queue identifier.Queue, key string, same bool) {
+// JobResubmitted logs and counts a submission with the ID of a known job under another key.
+func (l PlannerLog) JobResubmitted(id identifier.Job, queue identifier.Queue, key string, kind planner.Resubmission) {
 	l.meter.CountDecision("resubmitted")
 	l.logger.Info("job is stored under another key", zap.String("request", string(id)), zap.String("queue", string(queue)),
-		zap.String("key", key), zap.Bool("sameJob", same))
+		zap.String("key", key), zap.String("kind", string(kind)))
 }
 
 // JobEnded logs and counts the end of a job. Early is how long before its objective, the time by
