Cancellations of unknown jobs are deleted

Change: the holder deletes them once they are older than ended jobs are kept. The time counts from when the cancellation was accepted, which a takeover does not begin anew; by a clock that was ahead or not stored, from when this holder read it.

--- a/internal/dispatcher/term.go
+++ b/internal/dispatcher/term.go
@@ -459,7 +459,7 @@
 			events = append(events, planner.JobSubmitted{Job: e.Submission.Job, Queue: e.Submission.Queue, Key: r.Key, At: e.Submission.At, ConfigVersion: e.Submission.ConfigVersion, Team: e.Submission.Team})
 			t.observeConfig(e.Submission.ConfigVersion)
 		case e.Cancellation != nil:
-			events = append(events, planner.JobCancelled{ID: e.Cancellation.ID, At: e.Cancellation.At})
+			events = append(events, planner.JobCancelled{ID: e.Cancellation.ID, At: e.Cancellation.At, Key: r.Key})
 		case e.Grant != nil:
 			events = append(events, planner.WorkerGranted{Worker: e.Grant.Worker, From: e.Grant.From, Base: e.Grant.Base, Key: r.Key})
 		}
--- a/internal/planner/event.go
+++ b/internal/planner/event.go
@@ -31,7 +31,10 @@
 	// JobCancelled brings a stored cancellation.
 	JobCancelled struct {
 		ID identifier.Job
+		// At is when the cancellation was accepted, by the clock of the host that accepted it.
 		At identifier.UnixMillis
+		// Key is the key of the stored cancellation, by which it is deleted.
+		Key string
 	}
 	// JobsRestored brings the jobs' state as saved by an earlier holder. It follows the
 	// submissions.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -89,7 +89,7 @@
 	healthRecords healthRecords
 
 	jobs      map[identifier.Job]*job
-	cancelled map[identifier.Job]identifier.UnixMillis
+	cancelled map[identifier.Job]cancellation
 	// scheduled are the jobs with occurrences that are not due yet.
 	scheduled map[*job]struct{}
 	// waiting are the jobs with ready tasks.
@@ -217,7 +217,7 @@
 		settings: s, epoch: epoch, now: now, wallClock: time.Now, log: noLog{}, profile: &profiler.Timer{},
 		termStart:     now,
 		jobs:          map[identifier.Job]*job{},
-		cancelled:     map[identifier.Job]identifier.UnixMillis{},
+		cancelled:     map[identifier.Job]cancellation{},
 		scheduled:     map[*job]struct{}{},
 		waiting:       map[*job]struct{}{},
 		teams:         newTeams(),
@@ -369,8 +369,8 @@
 	p.updateQueue(j)
 	j.setWaitStart(p.now)
 	p.jobs[j.def.ID] = j
-	if at, ok := p.cancelled[j.def.ID]; ok {
-		p.cancelJob(JobCancelled{j.def.ID, at})
+	if c, ok := p.cancelled[j.def.ID]; ok {
+		p.cancelJob(c.JobCancelled)
 		return
 	}
 	if j.def.Schedule != nil {
@@ -382,9 +382,15 @@
 	p.unblockTasks(j, 0)
 }
 
+// cancellation is a cancellation that was read at a time.
+type cancellation struct {
+	JobCancelled
+	readAt time.Time
+}
+
 // cancelJob ends a job. A cancellation that arrives before its job is applied to it later.
 func (p *Planner) cancelJob(e JobCancelled) {
-	p.cancelled[e.ID] = e.At
+	p.cancelled[e.ID] = cancellation{JobCancelled: e, readAt: p.now}
 	j, ok := p.jobs[e.ID]
 	if !ok || j.state.Ended() {
 		// A job that ended in another way shows that only once its end is stored.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -343,6 +343,40 @@
 	}
 }
 
+// TestCancellationsOfUnknownJobsAreDeleted guards against cancellations that stay in the inbox and in the memory
+// of each holder for good, since no job comes or their job is forgotten. A takeover prolongs nothing.
+func TestCancellationsOfUnknownJobsAreDeleted(t *testing.T) {
+	const kept = time.Minute + retentionMargin
+	now := time.UnixMilli(1_000_000)
+	tests := map[string]struct {
+		at         identifier.UnixMillis
+		keep, drop time.Duration
+	}{
+		"stored just now":                 {identifier.UnixMillis(now.UnixMilli()), kept - time.Second, kept + retirePeriod},
+		"stored before a takeover":        {identifier.UnixMillis(now.Add(-kept / 2).UnixMilli()), kept/2 - time.Second, kept/2 + retirePeriod},
+		"stored without a time":           {0, kept - time.Second, kept + retirePeriod},
+		"stored long ago":                 {1, 0, 0},
+		"stored by a clock that is ahead": {identifier.UnixMillis(now.Add(time.Hour).UnixMilli()), kept - time.Second, kept + retirePeriod},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t, workerEntry("w"))
+			WithTimeOfDay(func() time.Time { return b.now })(b.p)
+			b.update(0, JobCancelled{ID: "00000000000000aa", At: tt.at, Key: "c00000000000000aa"})
+			if tt.drop > 0 {
+				b.update(tt.keep)
+				b.checkDiscarded("while its job may come")
+				b.update(tt.drop - tt.keep)
+			}
+			b.checkDiscarded("later", "c00000000000000aa")
+			b.submit("00000000000000aa", submitter.Step{Count: 1, Size: smallSize})
+			if state, _ := b.p.State("00000000000000aa"); state != StateQueued {
+				t.Errorf("a job with the ID is %q, want it queued", state)
+			}
+		})
+	}
+}
+
 func TestJobFailsAfterItsAttempts(t *testing.T) {
 	b := newTestbed(t, workerEntry("w"))
 	b.update(0)
--- a/internal/planner/retirer.go
+++ b/internal/planner/retirer.go
@@ -59,9 +59,29 @@
 		delete(p.round.jobs, j)
 		p.deleteJob(Retired{id, append(slices.Collect(maps.Keys(j.otherKeys)), j.key)})
 	}
+	p.dropUnusedCancellations()
 	p.deleteSubmissions()
 }
 
+// dropUnusedCancellations drops and deletes the cancellations of jobs that are not known, once they are older
+// than ended jobs are kept: their job was forgotten, or none was submitted. The time counts from when a
+// cancellation was accepted, so that it does not begin anew with each holder; but by a clock that was ahead,
+// only from when this holder read it.
+func (p *Planner) dropUnusedCancellations() {
+	keep := p.settings.Retention + retentionMargin
+	for id, c := range p.cancelled {
+		accepted := c.At.Time()
+		if c.At <= 0 {
+			accepted = p.wallClock()
+		}
+		if _, known := p.jobs[id]; known || p.now.Sub(c.readAt) < keep && p.wallClock().Sub(accepted) < keep {
+			continue
+		}
+		delete(p.cancelled, id)
+		p.discards.add(Discard{Key: c.Key})
+	}
+}
+
 // deleteJob has the submissions of a job deleted, and then its record.
 func (p *Planner) deleteJob(r Retired) {
 	p.retirements.submissions.add(r)
