Jobs follow their queue when it gets another name

Change: the configuration of a queue has a hash of its route's host name and path prefix, which travels with each submission (10 bytes). A job belongs to the queue at that address, or to the one of its name if there is none there. This depends on nothing that a holder remembers, so that a takeover changes nothing. Submissions of earlier releases go by name, as before.

Not covered: a holder that reads the new name later than the host that is asked counts for the old one until then (configuration is in force within 2 s).

--- a/internal/connector/runner.go
+++ b/internal/connector/runner.go
@@ -200,8 +200,14 @@
 	Advised bool `cbor:"7,keyasint,omitempty" json:"advised"`
 	// Advice holds the durations of the adviser's calls for an advised queue.
 	Advice AdviceDurations `cbor:"8,keyasint,omitempty" json:"advice"`
+	// Address identifies the address at which callers reach the queue, which a new name does not
+	// change; zero if it is not known.
+	Address QueueAddress `cbor:"9,keyasint,omitempty" json:"address,omitempty"`
 }
 
+// QueueAddress is a hash of the address at which callers reach a queue.
+type QueueAddress uint64
+
 // AdviceDurations describes the calls of the placement adviser. A call takes Decide and PerWorker for
 // each worker that it names, and its permits are valid for Valid. Durations that are not known are
 // zero.
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -117,6 +117,8 @@
 	keyStored bool
 	otherKeys map[string]bool
 	queue     connector.QueueConfig
+	// address is where the job was submitted; zero if that is not known.
+	address connector.QueueAddress
 	// configVersion is the version of the configuration by which the job was accepted; zero if unknown.
 	configVersion identifier.ConfigVersion
 	// team is the team that submitted the job, or teams.none.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -90,6 +90,8 @@
 
 	jobs      map[identifier.Job]*job
 	cancelled map[identifier.Job]cancellation
+	// queuesAt are the queues of the directory by their address.
+	queuesAt map[connector.QueueAddress]identifier.Queue
 	// scheduled are the jobs with occurrences that are not due yet.
 	scheduled map[*job]struct{}
 	// waiting are the jobs with ready tasks.
@@ -362,7 +364,7 @@
 		return
 	}
 	j := &job{
-		def: e.Job, queue: e.Queue, queueSubmitted: e.Queue.Name != "", submitted: p.now, occurrences: map[int][]*taskGroup{},
+		def: e.Job, queue: e.Queue, address: e.Queue.Address, queueSubmitted: e.Queue.Name != "", submitted: p.now, occurrences: map[int][]*taskGroup{},
 		state: StateQueued, visibleState: StateQueued, key: e.Key, keyHash: hashKey(e.Key), configVersion: e.ConfigVersion, team: p.teamOf(e.Team),
 	}
 	j.rank = j.team.countSubmission(e.At)
--- a/internal/planner/query.go
+++ b/internal/planner/query.go
@@ -20,7 +20,7 @@
 func (p *Planner) UnstartedJobs(queue identifier.Queue) int {
 	n := 0
 	for _, j := range p.jobs {
-		if j.def.Queue == queue && !j.started && !j.state.Ended() {
+		if j.queueName() == queue && !j.started && !j.state.Ended() {
 			n++
 		}
 	}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -23,7 +23,7 @@
 func (p *Planner) List(s submitter.Selection) submitter.Reports {
 	var out submitter.Reports
 	for _, j := range p.jobs {
-		if (s.Queue == "" || s.Queue == j.def.Queue) && (s.State == "" || s.State == string(j.visibleState)) {
+		if (s.Queue == "" || s.Queue == j.queueName()) && (s.State == "" || s.State == string(j.visibleState)) {
 			out.Jobs = append(out.Jobs, reportOf(j))
 		}
 	}
@@ -37,7 +37,7 @@
 // reportOf returns the report of a job, in which each step counts the tasks of all occurrences.
 func reportOf(j *job) submitter.Report {
 	r := submitter.Report{
-		ID: j.def.ID, Queue: j.def.Queue, State: string(j.visibleState),
+		ID: j.def.ID, Queue: j.queueName(), State: string(j.visibleState),
 		Submitted: identifier.UnixMillis(j.submitted.UnixMilli()), Objective: identifier.UnixMillis(j.objective.UnixMilli()),
 		Steps: make([]submitter.StepReport, len(j.def.Steps)),
 	}
--- a/internal/planner/save.go
+++ b/internal/planner/save.go
@@ -480,7 +480,7 @@
 		p.submissionStored(j)
 	}
 	if rec.Queue != nil && j.queue.Name == "" {
-		j.queue = *rec.Queue
+		j.queue, j.address = *rec.Queue, rec.Queue.Address
 	}
 	if rec.Accepted > 0 {
 		j.submitted = rec.Accepted.Time()
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -453,6 +453,9 @@
 // updateDirectory replaces the directory and applies the changes of queues and workers.
 func (p *Planner) updateDirectory(d connector.Directory) {
 	d = d.Newest(p.directory)
+	if d.Version != p.directory.Version || p.queuesAt == nil {
+		p.queuesAt = queuesByAddress(d.Queues)
+	}
 	p.directory = d
 	p.updateTeams()
 	for _, j := range p.jobs {
@@ -477,14 +480,41 @@
 	}
 }
 
+// queuesByAddress returns the names of the queues whose address is known.
+func queuesByAddress(queues map[identifier.Queue]connector.QueueConfig) map[connector.QueueAddress]identifier.Queue {
+	out := make(map[connector.QueueAddress]identifier.Queue, len(queues))
+	for name, q := range queues {
+		if q.Address != 0 {
+			out[q.Address] = name
+		}
+	}
+	return out
+}
+
 // updateQueue replaces the queue settings of a job by those of the directory, unless the job was
-// accepted by a newer configuration.
+// accepted by a newer configuration. The queue of a job is the one at the address at which it was
+// submitted, whatever its name is now, or the one of its name if there is none.
 func (p *Planner) updateQueue(j *job) {
-	if q, ok := p.directory.Queues[j.def.Queue]; ok && p.directory.Version >= j.configVersion {
+	if p.directory.Version < j.configVersion {
+		return
+	}
+	name, ok := p.queuesAt[j.address]
+	if !ok {
+		name = j.def.Queue
+	}
+	if q, ok := p.directory.Queues[name]; ok {
 		j.queue = q
 	}
 }
 
+// queueName returns the present name of a job's queue, or its last one.
+func (j *job) queueName() identifier.Queue {
+	if j.queue.Name == "" {
+		return j.def.Queue
+	}
+	return j.queue.Name
+}
+
 // updateWorker applies the directory entry of a worker.
 func (p *Planner) updateWorker(id identifier.Worker, entry connector.WorkerEntry) {
 	w := p.ensureWorker(id)
