A stopping listener answers the requests that it has read

Cause: the shutdown of a listener closes open requests after one second, whatever they wait for: a GET waits for up to 2 s for the holder of its cell, a submission for as long as its caller. It closes connections that wait for a request at once, also when one is already on its way.

Change: the contexts of requests end 200 ms before their connections are closed, so that each gets its refusal ('not run' with Retry-After, or 'unknown' for what was sent). Connections that wait for a request stay open for another 100 ms. Last responses say that the connection is closed. All programs use this listener.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -39,6 +39,8 @@
 	timeout time.Duration
 	// armed is set once the deadline for the transfer of a request is set.
 	armed bool
+	// stopping reports whether the listener is being shut down.
+	stopping func() bool
 	// unread is set if a request was refused before all of it was read.
 	unread bool
 
@@ -213,6 +215,12 @@
 		if err := c.SetReadDeadline(time.Now().Add(idle)); err != nil {
 			return errors.Wrap(err, "set idle deadline")
 		}
+		// The shutdown may have set its deadline before the one above.
+		if c.stopping() {
+			if err := c.SetReadDeadline(time.Now().Add(lingerTime)); err != nil {
+				return errors.Wrap(err, "set idle deadline")
+			}
+		}
 		c.armed = true
 		if err := c.fill(1); err != nil {
 			return io.EOF
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -80,11 +80,19 @@
 		server.WithIdleTimeout(0),
 	}
 	h := server.New(append(options, opts...)...)
-	h.Use(readBody(maxBody))
+	h.Use(closeWhenStopping, readBody(maxBody))
 	h.NoRoute(notFound)
 	return h
 }
 
+// closeWhenStopping tells clients that get an answer during a shutdown that their connection is closed.
+func closeWhenStopping(ctx context.Context, c *app.RequestContext) {
+	c.Next(ctx)
+	if conn, ok := c.GetConn().(*conn); ok && conn.stopping() {
+		c.SetConnectionClose()
+	}
+}
+
 // Listen opens a TCP listener on an address of the form host:port. Its Accept retries until the
 // listener is closed, so that a server does not stop on a failed accept.
 func Listen(address string) (net.Listener, error) {
--- a/internal/listener/transport.go
+++ b/internal/listener/transport.go
@@ -24,6 +24,12 @@
 	// refusalTime bounds the writing of a refusal to a client that may read nothing, and the
 	// reading of what it still sends.
 	refusalTime = time.Second
+	// answerTime is how long before the end of a shutdown the contexts of open requests end, so that they are
+	// answered, if only by a refusal, before their connections are closed.
+	answerTime = 200 * time.Millisecond
+	// lingerTime is how long a connection that waits for a request stays open in a shutdown, for a request
+	// that is on its way or has come already.
+	lingerTime = 100 * time.Millisecond
 )
 
 // transport accepts connections and gives the library one whose request has a complete header, one
@@ -34,6 +40,9 @@
 	door    *limiter.Door
 	maxBody int64
 	handler network.OnData
+	// requests is the context of all requests, which endRequests ends.
+	requests    context.Context
+	endRequests context.CancelFunc
 
 	mu       sync.Mutex
 	stopping bool
@@ -44,7 +53,9 @@
 // newTransporter returns the constructor of transports with a share of a budget.
 func newTransporter(door *limiter.Door) func(*config.Options) network.Transporter {
 	return func(o *config.Options) network.Transporter {
-		return &transport{ln: o.Listener, door: door, maxBody: int64(o.MaxRequestBodySize), open: map[*conn]*limiter.Slot{}}
+		t := &transport{ln: o.Listener, door: door, maxBody: int64(o.MaxRequestBodySize), open: map[*conn]*limiter.Slot{}}
+		t.requests, t.endRequests = context.WithCancel(context.Background())
+		return t
 	}
 }
 
@@ -72,7 +83,7 @@
 		_ = raw.Close()
 		return
 	}
-	c := &conn{Conn: raw, door: t.door, charge: t.door.NewCharge(), timeout: t.door.TransferTime()}
+	c := &conn{Conn: raw, door: t.door, charge: t.door.NewCharge(), timeout: t.door.TransferTime(), stopping: t.isStopping}
 	t.mu.Lock()
 	if t.stopping {
 		t.mu.Unlock()
@@ -117,7 +128,7 @@
 			t.turnAway(c, errNoMemory)
 			return
 		}
-		err := t.handler(context.Background(), c)
+		err := t.handler(t.requests, c)
 		if c.unread {
 			drain(c.Conn)
 		}
@@ -223,18 +234,23 @@
 	return t.Shutdown(ctx)
 }
 
-// Shutdown implements network.Transporter. It closes the listener and the connections that wait for
-// a request, and the others once their request is answered or ctx is done.
+// Shutdown implements network.Transporter. It closes the listener, the connections that wait for a request
+// lingerTime later, and the others once their request is answered or ctx is done. The contexts of requests
+// end answerTime before ctx.
 func (t *transport) Shutdown(ctx context.Context) error {
+	defer t.endRequests()
 	_ = t.ln.Close()
 	t.mu.Lock()
 	t.stopping = true
 	for c, slot := range t.open {
 		if slot.Waiting() {
-			_ = c.Conn.Close()
+			_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 		}
 	}
 	t.mu.Unlock()
+	if end, ok := ctx.Deadline(); ok {
+		defer time.AfterFunc(time.Until(end)-answerTime, t.endRequests).Stop()
+	}
 	done := make(chan struct{})
 	go func() {
 		t.serving.Wait()
