A stopped holder keeps its cells until another host can take them

Cause: a host gave its cells back at once when it was stopped, also if all others were being stopped or gone. Evidence: no 'term begins' between the third 'stop requested' and the restart of the first host.

Change: a host that is stopped and holds cells asks others (up to 12 at a time) whether they can take cells, and gives them back once one says that it is in the group of holders and not being stopped, which in calm takes one call; at the latest when it stops serving callers. A host that has just said so stays in the group for 1.5 s when it is stopped itself. A host of an earlier release refuses the question, and counts as one that can.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -42,6 +42,7 @@
 	MethodCellClock     Method = "cellClock"
 	MethodConfig        Method = "config"
 	MethodRequestRoom   Method = "requestRoom"
+	MethodSuccessor     Method = "successor"
 )
 
 // The calls of scheduling hosts to a platform that speaks this project's own protocol. The calls of
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -114,6 +114,8 @@
 	// this host, have reported.
 	clockTracker renewer.ClockTracker
 
+	succession succession
+
 	mu    sync.Mutex
 	terms map[identifier.Cell]*runningTerm
 	// ctx is the context of Run, in which the terms run.
@@ -270,7 +272,8 @@
 
 // handle answers the calls of other hosts: store calls that a host relays because it does not
 // reach the store itself, messages of hosts that call workers on behalf of this one, requests for
-// the clock of a cell, for the configuration or for idle workers, and all calls of the intake.
+// the clock of a cell, for the configuration, for idle workers or whether this host can take cells,
+// and all calls of the intake.
 func (s *Supervisor) handle(ctx context.Context, method messenger.Method, params json.RawMessage) (any, error) {
 	if out, ok, err := relayer.Serve(ctx, s.intake.Grouping(s.store.Direct()), method, params); ok {
 		return out, err
@@ -284,6 +287,9 @@
 	if method == messenger.MethodRequestRoom {
 		return s.handleRoomRequest(params)
 	}
+	if method == messenger.MethodSuccessor {
+		return s.succession.answer(s.elector.Valid()), nil
+	}
 	if method == messenger.MethodConfig {
 		return s.handleConfig(params)
 	}
