Connections of a host that is stopped are closed with their next answer

Change: from the stop signal on, answers to callers close their connection, so that 4 s later few are left, and callers reach hosts that stay. A connection that was accepted as the listener is closed is served like the others. Ruled out: connections that the kernel had queued when the listener was closed; accepting them first found none.

--- a/internal/listener/transport.go
+++ b/internal/listener/transport.go
@@ -44,9 +44,11 @@
 	requests    context.Context
 	endRequests context.CancelFunc
 
-	mu       sync.Mutex
-	stopping bool
-	open     map[*conn]*limiter.Slot
+	mu sync.Mutex
+	// stopping is set once a shutdown has begun, and stopped once it has closed all connections that were
+	// waiting for a request.
+	stopping, stopped bool
+	open              map[*conn]*limiter.Slot
 	serving  sync.WaitGroup
 }
 
@@ -85,7 +87,7 @@
 	}
 	c := &conn{Conn: raw, door: t.door, charge: t.door.NewCharge(), timeout: t.door.TransferTime(), stopping: t.isStopping}
 	t.mu.Lock()
-	if t.stopping {
+	if t.stopped {
 		t.mu.Unlock()
 		slot.Close()
 		_ = raw.Close()
@@ -239,9 +241,11 @@
 // end answerTime before ctx.
 func (t *transport) Shutdown(ctx context.Context) error {
 	defer t.endRequests()
-	_ = t.ln.Close()
 	t.mu.Lock()
 	t.stopping = true
+	t.mu.Unlock()
+	_ = t.ln.Close()
+	t.mu.Lock()
 	for c, slot := range t.open {
 		if slot.Waiting() {
 			_ = c.SetReadDeadline(time.Now().Add(lingerTime))
@@ -251,6 +255,14 @@
 	if end, ok := ctx.Deadline(); ok {
 		defer time.AfterFunc(time.Until(end)-answerTime, t.endRequests).Stop()
 	}
+	// A connection that was accepted just before the listener was closed is served like the others.
+	select {
+	case <-time.After(lingerTime):
+	case <-ctx.Done():
+	}
+	t.mu.Lock()
+	t.stopped = true
+	t.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
 		t.serving.Wait()
