--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -59,12 +59,20 @@
 func startServer(t testing.TB, size limiter.HostSize) (*pipeListener, *limiter.Budget) {
 	t.Helper()
 	budget := limiter.NewBudget(size, limiter.SetLimits{})
-	ln := newPipeListener()
-	h := New(ln, testBodyLimit, WithDoor(budget.Door(limiter.DoorFront)))
-	h.Any("/*path", func(_ context.Context, c *app.RequestContext) {
+	ln, _ := serveWith(t, budget, func(_ context.Context, c *app.RequestContext) {
 		body := c.Request.Body()
 		c.String(consts.StatusOK, "%s %d %.8s", c.Path(), len(body), body)
 	})
+	return ln, budget
+}
+
+// serveWith starts a server with a handler and a budget of which nothing may be in use after its end. It is stopped
+// when the test ends, or before by stop.
+func serveWith(t testing.TB, budget *limiter.Budget, handler app.HandlerFunc) (ln *pipeListener, stop func()) {
+	t.Helper()
+	ln = newPipeListener()
+	h := New(ln, testBodyLimit, WithDoor(budget.Door(limiter.DoorFront)))
+	h.Any("/*path", handler)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- Run(ctx, h) }()
@@ -77,7 +85,7 @@
 			t.Errorf("in use after the end: %+v", use)
 		}
 	})
-	return ln, budget
+	return ln, cancel
 }
 
 // response is a response that was read to its end.
--- a/internal/listener/stop_test.go
+++ b/internal/listener/stop_test.go
@@ -19,9 +19,9 @@
 // startWaiting starts a server that answers 200 after a time, or 503 if the context of the request ends before.
 func startWaiting(t *testing.T, wait time.Duration) (ln *pipeListener, stop func()) {
 	t.Helper()
-	ln = newPipeListener()
-	h := New(ln, testBodyLimit, WithDoor(limiter.NewBudget(limiter.HostSize{}, limiter.SetLimits{}).Door(limiter.DoorFront)))
-	h.Any("/*path", func(ctx context.Context, c *app.RequestContext) {
+	// A handler that outlasts the server has to end before the paused clock does.
+	t.Cleanup(func() { time.Sleep(wait) })
+	return serveWith(t, limiter.NewBudget(limiter.HostSize{}, limiter.SetLimits{}), func(ctx context.Context, c *app.RequestContext) {
 		select {
 		case <-time.After(wait):
 			c.SetStatusCode(consts.StatusOK)
@@ -29,31 +29,20 @@
 			c.SetStatusCode(consts.StatusServiceUnavailable)
 		}
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- Run(ctx, h) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-ended; err != nil {
-			t.Errorf("serve: %v", err)
-		}
-		time.Sleep(wait)
-	})
-	return ln, cancel
 }
 
-// ask sends a request and returns the response, or nil if the connection ended without a complete one.
-func ask(conn net.Conn, r *bufio.Reader) *http.Response {
+// ask sends a request and returns the response. Its status is zero if the connection ended without a complete one.
+func ask(conn net.Conn) response {
 	go func() { _, _ = io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n") }()
-	resp, err := http.ReadResponse(r, nil)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		return nil
+		return response{}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if _, err := io.ReadAll(resp.Body); err != nil {
-		return nil
+		return response{}
 	}
-	return resp
+	return response{status: resp.StatusCode, closes: resp.Close}
 }
 
 // TestStoppingListenerAnswersWhatItHasRead guards against connections that a stopping host closes without an answer
@@ -85,14 +74,14 @@
 				stopped := time.Now().Add(max(tt.sentBefore, 0))
 				defer time.AfterFunc(time.Until(stopped), stop).Stop()
 				time.Sleep(-tt.sentBefore)
-				resp := ask(conn, bufio.NewReader(conn))
-				if resp == nil || resp.StatusCode != tt.status {
+				resp := ask(conn)
+				if resp.status != tt.status {
 					t.Fatalf("response %+v, want status %d", resp, tt.status)
 				}
 				if late := time.Since(stopped); late >= shutdownTimeout {
 					t.Errorf("answered %v after the stop, when connections are closed", late)
 				}
-				if time.Since(stopped) > 0 && !resp.Close {
+				if time.Since(stopped) > 0 && !resp.closes {
 					t.Error("the last response does not say that the connection is closed")
 				}
 			})
--- a/internal/listener/transport.go
+++ b/internal/listener/transport.go
@@ -49,7 +49,7 @@
 	// waiting for a request.
 	stopping, stopped bool
 	open              map[*conn]*limiter.Slot
-	serving  sync.WaitGroup
+	serving           sync.WaitGroup
 }
 
 // newTransporter returns the constructor of transports with a share of a budget.
