--- a/internal/supervisor/successor.go
+++ b/internal/supervisor/successor.go
@@ -79,11 +79,13 @@
 		}
 		if !kept {
 			kept = true
-			s.logger.Info("no other host can take the cells, they are kept")
+			s.logger.Info("no other host can take the cells, they are kept", zap.Bool("held", s.holdsCells()))
 		}
 		sleeper.Pause(ctx, successorPause)
 	}
-	s.logger.Info("cells are given back", zap.Bool("held", s.holdsCells()), zap.Duration("waitedMs", time.Since(began)))
+	if kept {
+		s.logger.Info("cells are given back without a successor", zap.Duration("waitedMs", time.Since(began)))
+	}
 }
 
 func (s *Supervisor) holdsCells() bool {
